--- /dev/null
+++ b/crates/cowslipcross/src/lib.rs
@@ -0,0 +1,4 @@
+//! An entry instance of cowslipcross: its duties and what joins them.
+
+pub mod events;
+pub mod work;
--- /dev/null
+++ b/crates/cowslipcross/src/main.rs
@@ -0,0 +1,3 @@
+//! The program of an entry instance.
+
+fn main() {}
--- /dev/null
+++ b/crates/decide/src/assign.rs
@@ -0,0 +1,136 @@
+//! The assignment: which target owns which keys, and which instance sends to which target.
+
+use {
+    crate::names::{Epoch, Fence, Name, Version},
+    serde::{Deserialize, Serialize},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// A contiguous range of key hashes with one owner.
+///
+/// The range ends where the next one of its service begins.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyRange {
+    /// First hash of the range.
+    pub start: u64,
+    /// Target that owns the range.
+    pub owner: Name,
+    /// Target that owns the range, with the next higher fence, once the owner is lost.
+    pub standby: Option<Name>,
+    /// Fence of the owner; the standby's is one higher.
+    pub fence: Fence,
+    /// Version of the assignment in which the owner or its fence last changed.
+    pub since: Version,
+}
+
+/// The instances that may send to a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// Instance that sends to the target.
+    pub holder: Name,
+    /// Instance that sends once the holder is out.
+    pub standby: Option<Name>,
+    /// Version of the assignment in which the holder last changed.
+    pub since: Version,
+    /// Pool of the target: the targets of one undivided service that one holder serves.
+    pub pool: Option<Name>,
+}
+
+/// All that a planner decides, recorded in the table as one row before it is in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assignment {
+    /// Version of this assignment.
+    pub version: Version,
+    /// Epoch of the planner that recorded it.
+    pub epoch: Epoch,
+    /// Version of the configuration that it was planned for.
+    pub config: Version,
+    /// Instances whose majority decides about leases; one step at a time.
+    pub members: BTreeSet<Name>,
+    /// Ranges of each divided service, ordered by their start; the first starts at 0.
+    pub ranges: BTreeMap<Name, Vec<KeyRange>>,
+    /// Holder of each target.
+    pub holdings: BTreeMap<Name, Holding>,
+}
+
+/// What was lost since an assignment was recorded; both sets only grow within one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Losses {
+    /// Targets whose ranges have passed to their standbys.
+    pub targets: BTreeSet<Name>,
+    /// Instances whose holdings have passed to their standbys.
+    pub instances: BTreeSet<Name>,
+}
+
+/// Owner of a key at this moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// Target that owns the key.
+    pub target: Name,
+    /// Fence to send with each request.
+    pub fence: Fence,
+    /// Version of the assignment in which the range came to its recorded owner.
+    pub since: Version,
+    /// Whether the target owns the range as standby of a lost owner.
+    pub standby: bool,
+}
+
+impl Losses {
+    /// Adds what `other` knows; returns whether anything was new.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let before = (self.targets.len(), self.instances.len());
+        self.targets.extend(other.targets.iter().cloned());
+        self.instances.extend(other.instances.iter().cloned());
+        before != (self.targets.len(), self.instances.len())
+    }
+}
+
+impl Assignment {
+    /// Returns the range of `service` that contains `hash`.
+    pub fn range(&self, service: &str, hash: u64) -> Option<&KeyRange> {
+        let ranges = self.ranges.get(service)?;
+        let after = ranges.partition_point(|range| range.start <= hash);
+        ranges.get(after.checked_sub(1)?)
+    }
+
+    /// Returns the owner of `hash` given what was lost, or `None` while it has none.
+    pub fn owner(&self, losses: &Losses, service: &str, hash: u64) -> Option<Owner> {
+        self.range(service, hash)?.owner_given(losses)
+    }
+
+    /// Returns the instance that may send to `target` given what was lost.
+    pub fn holder(&self, losses: &Losses, target: &str) -> Option<&Name> {
+        let holding = self.holdings.get(target)?;
+        if !losses.instances.contains(&holding.holder) {
+            return Some(&holding.holder);
+        }
+        holding
+            .standby
+            .as_ref()
+            .filter(|name| !losses.instances.contains(*name))
+    }
+}
+
+impl KeyRange {
+    /// Returns the owner of this range given what was lost, or `None` while it has none.
+    pub fn owner_given(&self, losses: &Losses) -> Option<Owner> {
+        if !losses.targets.contains(&self.owner) {
+            return Some(Owner {
+                target: self.owner.clone(),
+                fence: self.fence,
+                since: self.since,
+                standby: false,
+            });
+        }
+        let standby = self.standby.as_ref()?;
+        if losses.targets.contains(standby) {
+            return None;
+        }
+        Some(Owner {
+            target: standby.clone(),
+            fence: self.fence.next(),
+            since: self.since,
+            standby: true,
+        })
+    }
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,11 @@
+//! The decisions of cowslipcross, free of I/O.
+//!
+//! Every machine in this package takes typed events and a [`tokio::time::Instant`] and returns
+//! what to do next. Nothing here opens a socket, starts a thread or reads a clock, so any driver
+//! can run the machines at any speed.
+
+pub mod assign;
+pub mod duty;
+pub mod key;
+pub mod names;
+pub mod verdict;
--- /dev/null
+++ b/crates/decide/src/names.rs
@@ -0,0 +1,50 @@
+//! Names and counters shared by every decision.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{fmt, sync::Arc},
+};
+
+/// Name of an instance, data centre, service, route, target or caller.
+pub type Name = Arc<str>;
+
+macro_rules! counter {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the next higher value.
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+counter! {
+    /// Number that orders the owners of a key range; a target refuses lower ones than it has seen.
+    Fence
+}
+counter! {
+    /// Version of an assignment or of a configuration; it only grows.
+    Version
+}
+counter! {
+    /// Epoch of the planner; a write that names an older epoch is refused by the table.
+    Epoch
+}
+counter! {
+    /// Distinguishes two runs of an instance under the same name; a later run has a higher one.
+    Incarnation
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
