feat(standins): add the platform stand-in

Tests and the demo need a table service, an object store and an instance list that can fail as the real ones do.

Ruled out: DynamoDB Local (a download with a runtime of its own, and no lost answers).

--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the platform, targets and callers.
+
+pub mod platform;
--- a/crates/standins/src/main.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Placeholder.
-
-fn main() {}
