feat(settings): read and check the settings of a process and documents

Cause: processes and the operators' command need settings that are refused with file, line, path of the field and what was expected. Ruled out: serde's own errors, which name the line but neither the path nor the bounds. Change: each field is declared once with type, unit, default, bounds and meaning; a reader over spanned TOML checks it. `--set path=value` flags go over the file. Documents are checked for unique names and addresses, cold limits, connections and withdrawn data centres.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -1,8 +1,17 @@
 //! The configuration document: one validated text that is the whole configuration in force.
 
+mod check;
+mod edit;
+mod fields;
+mod read;
+
+pub use {edit::with_withdrawn, fields::FIELDS};
+
 use {
+    crate::{error::Result, reader::Source},
     cowslip_decide::{names::Name, verdict::Priority},
     serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
     std::collections::BTreeSet,
 };
 
@@ -69,3 +78,34 @@
     /// Whether it accepts grants and refuses requests with an older fence.
     pub checks_fence: bool,
 }
+
+/// Reads and checks a document; `file` is its name in errors.
+///
+/// # Errors
+/// Names the file, the line, the path of the field and what was expected.
+pub fn parse(text: &str, file: &str) -> Result<Document> {
+    let source = Source {
+        file: file.into(),
+        text,
+        fields: FIELDS,
+    };
+    let table = source.parse()?;
+    let root = source.root(&table)?;
+    let document = read::document(&root)?;
+    check::document(&root, &document)?;
+    Ok(document)
+}
+
+/// Returns the SHA-256 of a document's text as 64 hexadecimal digits; its key in the object store.
+pub fn hash(text: &str) -> String {
+    let digest = Sha256::digest(text.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+impl Document {
+    /// Returns every data centre that a target stands in.
+    pub fn data_centres(&self) -> BTreeSet<&Name> {
+        let targets = self.services.iter().flat_map(|service| &service.targets);
+        targets.map(|target| &target.data_centre).collect()
+    }
+}
--- /dev/null
+++ b/crates/settings/src/error.rs
@@ -0,0 +1,134 @@
+//! What is wrong with a settings file or a document, and where.
+
+use {
+    cowslip_decide::names::Name,
+    std::{fmt, io, sync::Arc},
+};
+
+/// Result of reading settings or a document.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A refused settings file, document or flag.
+#[derive(Clone, Debug)]
+pub enum Error {
+    /// The file cannot be read.
+    Unreadable {
+        /// File that was asked for.
+        file: Name,
+        /// Answer of the operating system.
+        cause: Arc<io::Error>,
+    },
+    /// The text is not TOML.
+    Syntax {
+        /// Where the text goes wrong.
+        place: Place,
+        /// What the parser says.
+        message: String,
+    },
+    /// A field that does not exist.
+    Unknown {
+        /// Where the field stands.
+        place: Place,
+        /// Path of the field.
+        path: String,
+        /// Fields that exist there.
+        expected: String,
+    },
+    /// A field without default is absent.
+    Missing {
+        /// Where the table begins that lacks the field.
+        place: Place,
+        /// Path of the field.
+        path: String,
+        /// What the field should hold.
+        expected: String,
+    },
+    /// A field holds a value of another type, out of bounds or at odds with another field.
+    Invalid {
+        /// Where the value stands.
+        place: Place,
+        /// Path of the field.
+        path: String,
+        /// What the field should hold.
+        expected: String,
+        /// What it holds.
+        found: String,
+    },
+}
+
+/// Place of a value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// A line of a file, counted from 1.
+    Line {
+        /// Name of the file.
+        file: Name,
+        /// Number of the line.
+        line: usize,
+    },
+    /// A flag of the command line.
+    Flag,
+}
+
+impl Error {
+    /// Returns the path of the field that is wrong, if the error is about one field.
+    pub fn path(&self) -> Option<&str> {
+        match self {
+            Self::Unreadable { .. } | Self::Syntax { .. } => None,
+            Self::Unknown { path, .. }
+            | Self::Missing { path, .. }
+            | Self::Invalid { path, .. } => Some(path),
+        }
+    }
+
+    /// Returns the line that is wrong, or `None` for a flag or an unreadable file.
+    pub fn line(&self) -> Option<usize> {
+        let place = match self {
+            Self::Unreadable { .. } => return None,
+            Self::Syntax { place, .. }
+            | Self::Unknown { place, .. }
+            | Self::Missing { place, .. }
+            | Self::Invalid { place, .. } => place,
+        };
+        match place {
+            Place::Line { line, .. } => Some(*line),
+            Place::Flag => None,
+        }
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Line { file, line } => write!(f, "{file}:{line}"),
+            Self::Flag => f.write_str("--set"),
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable { file, cause } => write!(f, "{file}: cannot be read: {cause}"),
+            Self::Syntax { place, message } => write!(f, "{place}: not valid TOML: {message}"),
+            Self::Unknown {
+                place,
+                path,
+                expected,
+            } => write!(f, "{place}: {path}: unknown field, expected {expected}"),
+            Self::Missing {
+                place,
+                path,
+                expected,
+            } => write!(f, "{place}: {path}: missing, expected {expected}"),
+            Self::Invalid {
+                place,
+                path,
+                expected,
+                found,
+            } => write!(f, "{place}: {path}: expected {expected}, found {found}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/settings/src/field.rs
@@ -0,0 +1,77 @@
+//! The fields of settings and documents: type, unit, default, bounds and meaning.
+
+use std::fmt;
+
+/// One field; the pages of the docs are checked against these.
+#[derive(Clone, Copy, Debug)]
+pub struct Field {
+    /// Path without indices; `*` stands for any name.
+    pub path: &'static str,
+    /// Type and bounds.
+    pub kind: Kind,
+    /// Unit of a number, or nothing.
+    pub unit: &'static str,
+    /// Value of an absent field; `None` if the field must be there.
+    pub default: Option<&'static str>,
+    /// What the field is for.
+    pub meaning: &'static str,
+}
+
+/// Type of a field with its bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// 1 to 64 of `a-z`, `0-9`, `-`, `_` and `.`, the first a letter or digit.
+    Name,
+    /// A list of names without repetition.
+    Names,
+    /// Text of so many bytes.
+    Text(usize, usize),
+    /// A whole number within bounds, both included.
+    Number(u64, u64),
+    /// `true` or `false`.
+    Flag,
+    /// `ip:port` with a port of 1 or more.
+    Address,
+    /// `ip:port`; port 0 lets the operating system choose.
+    Listen,
+    /// `http://ip:port` without a path.
+    Url,
+    /// One of these words.
+    Word(&'static [&'static str]),
+}
+
+impl Field {
+    /// Returns the last segment of the path.
+    pub fn key(&self) -> &'static str {
+        self.path.rsplit('.').next().unwrap_or(self.path)
+    }
+
+    /// Returns the row of this field in `docs/CONFIGURATION.md`.
+    pub fn row(&self) -> String {
+        let default = self
+            .default
+            .map_or_else(|| "required".to_owned(), |text| format!("`{text}`"));
+        format!(
+            "| `{}` | {} | {} | {} | {} |",
+            self.path, self.kind, self.unit, default, self.meaning
+        )
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Name => {
+                f.write_str("a name of 1 to 64 of a-z 0-9 - _ . that begins with a-z or 0-9")
+            }
+            Self::Names => f.write_str("a list of different names"),
+            Self::Text(low, high) => write!(f, "a text of {low} to {high} bytes"),
+            Self::Number(low, high) => write!(f, "a whole number from {low} to {high}"),
+            Self::Flag => f.write_str("true or false"),
+            Self::Address => f.write_str("an address as ip:port with a port from 1 to 65535"),
+            Self::Listen => f.write_str("an address as ip:port with a port from 0 to 65535"),
+            Self::Url => f.write_str("a URL as http://ip:port"),
+            Self::Word(words) => write!(f, "one of {}", words.join(", ")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,351 @@
+//! Reads checked values out of TOML and says where a bad one stands.
+
+use {
+    crate::{
+        error::{Error, Place, Result},
+        field::{Field, Kind},
+    },
+    cowslip_decide::names::Name,
+    std::{collections::BTreeSet, net::SocketAddr, ops::Range},
+    toml::{
+        Spanned,
+        de::{DeTable, DeValue},
+    },
+};
+
+/// Span of values that came from flags.
+pub(crate) const FLAG: Range<usize> = usize::MAX..usize::MAX;
+
+/// The text that values come from, with the fields that may be in it.
+pub(crate) struct Source<'a> {
+    /// Name of the file in errors.
+    pub file: Name,
+    /// Whole text.
+    pub text: &'a str,
+    /// Every field that may be there.
+    pub fields: &'static [Field],
+}
+
+/// One table of the text.
+pub(crate) struct Section<'a> {
+    source: &'a Source<'a>,
+    table: &'a DeTable<'a>,
+    span: Range<usize>,
+    path: String,
+}
+
+/// A value with its path and its place.
+pub(crate) struct Found<'a> {
+    source: &'a Source<'a>,
+    value: &'a Spanned<DeValue<'a>>,
+    path: String,
+}
+
+impl<'a> Source<'a> {
+    /// Parses the text; errors name the line.
+    pub fn parse(&self) -> Result<Spanned<DeTable<'a>>> {
+        DeTable::parse(self.text).map_err(|error| Error::Syntax {
+            place: self.place(&error.span().unwrap_or(0..0)),
+            message: error.message().to_owned(),
+        })
+    }
+
+    /// Returns the whole text as one table, after a check for unknown fields.
+    pub fn root(&'a self, table: &'a Spanned<DeTable<'a>>) -> Result<Section<'a>> {
+        let root = Section {
+            source: self,
+            table: table.get_ref(),
+            span: 0..0,
+            path: String::new(),
+        };
+        root.known()?;
+        Ok(root)
+    }
+
+    fn place(&self, span: &Range<usize>) -> Place {
+        if *span == FLAG {
+            return Place::Flag;
+        }
+        let end = span.start.min(self.text.len());
+        let line = 1 + self.text.as_bytes()[..end]
+            .iter()
+            .filter(|byte| **byte == b'\n')
+            .count();
+        Place::Line {
+            file: self.file.clone(),
+            line,
+        }
+    }
+}
+
+impl<'a> Section<'a> {
+    /// Returns the checked value of a field, or its default.
+    pub fn number(&self, field: &Field) -> Result<u64> {
+        match self.find(field.key()) {
+            Some(found) => found.number(field.kind),
+            None => self.default(field)?.parse().map_err(|_| self.lack(field)),
+        }
+    }
+
+    /// Returns the text of a field, or its default.
+    pub fn text(&self, field: &Field) -> Result<Name> {
+        match self.find(field.key()) {
+            Some(found) => found.text(field.kind),
+            None => Ok(self.default(field)?.into()),
+        }
+    }
+
+    /// Returns the address of a field, or its default.
+    pub fn address(&self, field: &Field) -> Result<SocketAddr> {
+        match self.find(field.key()) {
+            Some(found) => found.address(field.kind),
+            None => self.default(field)?.parse().map_err(|_| self.lack(field)),
+        }
+    }
+
+    /// Returns the flag of a field, or its default.
+    pub fn flag(&self, field: &Field) -> Result<bool> {
+        match self.find(field.key()) {
+            Some(found) => found.flag(),
+            None => self.default(field)?.parse().map_err(|_| self.lack(field)),
+        }
+    }
+
+    /// Returns the names of a field, or none.
+    pub fn names(&self, field: &Field) -> Result<BTreeSet<Name>> {
+        let Some(found) = self.find(field.key()) else {
+            return Ok(BTreeSet::new());
+        };
+        let mut names = BTreeSet::new();
+        for item in found.items(field.kind)? {
+            if !names.insert(item.text(Kind::Name)?) {
+                return Err(item.invalid("a name that is not yet in the list"));
+            }
+        }
+        Ok(names)
+    }
+
+    /// Returns the table under a key; an absent one counts as empty.
+    pub fn section(&self, key: &str) -> Result<Option<Self>> {
+        self.find(key).map(|found| found.section()).transpose()
+    }
+
+    /// Returns the tables of an array under a key; an absent one counts as empty.
+    pub fn sections(&self, key: &str) -> Result<Vec<Self>> {
+        let Some(found) = self.find(key) else {
+            return Ok(Vec::new());
+        };
+        found
+            .array("a list of tables")?
+            .iter()
+            .map(Found::section)
+            .collect()
+    }
+
+    /// Returns every value of this table with its key.
+    pub fn entries(&self) -> impl Iterator<Item = (&str, Found<'a>)> {
+        self.table.iter().map(|(key, value)| {
+            let key = key.get_ref().as_ref();
+            (key, self.found(key, value))
+        })
+    }
+
+    /// Returns the value under a key.
+    pub fn find(&self, key: &str) -> Option<Found<'a>> {
+        let (_, value) = self
+            .table
+            .iter()
+            .find(|(other, _)| other.get_ref().as_ref() == key)?;
+        Some(self.found(key, value))
+    }
+
+    /// Returns the path of this table.
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
+    /// Returns the error that a field of this table is at odds with others.
+    pub fn invalid(&self, key: &str, expected: impl Into<String>, found: String) -> Error {
+        let span = self
+            .find(key)
+            .map_or(self.span.clone(), |it| it.value.span());
+        Error::Invalid {
+            place: self.source.place(&span),
+            path: join(&self.path, key),
+            expected: expected.into(),
+            found,
+        }
+    }
+
+    /// Returns the error that a field of this table is absent.
+    pub fn missing(&self, key: &str, expected: impl Into<String>) -> Error {
+        Error::Missing {
+            place: self.source.place(&self.span),
+            path: join(&self.path, key),
+            expected: expected.into(),
+        }
+    }
+
+    fn found(&self, key: &str, value: &'a Spanned<DeValue<'a>>) -> Found<'a> {
+        Found {
+            source: self.source,
+            value,
+            path: join(&self.path, key),
+        }
+    }
+
+    fn default(&self, field: &Field) -> Result<&'static str> {
+        field.default.ok_or_else(|| self.lack(field))
+    }
+
+    fn lack(&self, field: &Field) -> Error {
+        self.missing(field.key(), field.kind.to_string())
+    }
+
+    fn known(&self) -> Result<()> {
+        let keys = children(self.source.fields, &pattern(&self.path));
+        for (key, _) in self.table {
+            if keys.contains("*") || keys.contains(key.get_ref().as_ref()) {
+                continue;
+            }
+            let names: Vec<_> = keys.iter().copied().collect();
+            return Err(Error::Unknown {
+                place: self.source.place(&key.span()),
+                path: join(&self.path, key.get_ref()),
+                expected: format!("one of {}", names.join(", ")),
+            });
+        }
+        Ok(())
+    }
+}
+
+impl<'a> Found<'a> {
+    /// Returns the number within the bounds of `kind`.
+    pub fn number(&self, kind: Kind) -> Result<u64> {
+        let number = self
+            .value
+            .get_ref()
+            .as_integer()
+            .and_then(|digits| u64::from_str_radix(digits.as_str(), digits.radix()).ok());
+        match (number, kind) {
+            (Some(number), Kind::Number(low, high)) if (low..=high).contains(&number) => Ok(number),
+            _ => Err(self.invalid(kind.to_string())),
+        }
+    }
+
+    /// Returns the text if it is of `kind`.
+    pub fn text(&self, kind: Kind) -> Result<Name> {
+        let text = self.value.get_ref().as_str();
+        text.filter(|text| fits(kind, text))
+            .map(Name::from)
+            .ok_or_else(|| self.invalid(kind.to_string()))
+    }
+
+    /// Returns the address if it is of `kind`.
+    pub fn address(&self, kind: Kind) -> Result<SocketAddr> {
+        let text = self.text(kind)?;
+        text.parse().map_err(|_| self.invalid(kind.to_string()))
+    }
+
+    /// Returns the flag.
+    pub fn flag(&self) -> Result<bool> {
+        let flag = self.value.get_ref().as_bool();
+        flag.ok_or_else(|| self.invalid(Kind::Flag.to_string()))
+    }
+
+    /// Returns the error that this value is not what was expected.
+    pub fn invalid(&self, expected: impl Into<String>) -> Error {
+        Error::Invalid {
+            place: self.source.place(&self.value.span()),
+            path: self.path.clone(),
+            expected: expected.into(),
+            found: shown(self.value.get_ref()),
+        }
+    }
+
+    fn items(&self, kind: Kind) -> Result<Vec<Found<'a>>> {
+        self.array(&kind.to_string())
+    }
+
+    fn array(&self, expected: &str) -> Result<Vec<Found<'a>>> {
+        let Some(array) = self.value.get_ref().as_array() else {
+            return Err(self.invalid(expected));
+        };
+        let items = array.iter().enumerate().map(|(index, value)| Found {
+            source: self.source,
+            value,
+            path: format!("{}[{index}]", self.path),
+        });
+        Ok(items.collect())
+    }
+
+    fn section(&self) -> Result<Section<'a>> {
+        let Some(table) = self.value.get_ref().as_table() else {
+            return Err(self.invalid("a table"));
+        };
+        let section = Section {
+            source: self.source,
+            table,
+            span: self.value.span(),
+            path: self.path.clone(),
+        };
+        section.known()?;
+        Ok(section)
+    }
+}
+
+fn fits(kind: Kind, text: &str) -> bool {
+    match kind {
+        Kind::Name => {
+            let allowed = |byte: u8| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.');
+            let first = text.starts_with(|it: char| it.is_ascii_alphanumeric());
+            first && text.len() <= 64 && text.bytes().all(allowed)
+        }
+        Kind::Text(low, high) => (low..=high).contains(&text.len()),
+        Kind::Address => text.parse().is_ok_and(|it: SocketAddr| it.port() > 0),
+        Kind::Listen => text.parse::<SocketAddr>().is_ok(),
+        Kind::Url => text
+            .strip_prefix("http://")
+            .is_some_and(|rest| fits(Kind::Address, rest)),
+        Kind::Word(words) => words.contains(&text),
+        Kind::Names | Kind::Number(..) | Kind::Flag => false,
+    }
+}
+
+fn shown(value: &DeValue<'_>) -> String {
+    match value {
+        DeValue::String(text) => format!("{text:?}"),
+        DeValue::Integer(digits) => digits.to_string(),
+        DeValue::Float(digits) => digits.to_string(),
+        DeValue::Boolean(flag) => flag.to_string(),
+        DeValue::Datetime(_) => "a date".to_owned(),
+        DeValue::Array(_) => "a list".to_owned(),
+        DeValue::Table(_) => "a table".to_owned(),
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() {
+        return key.to_owned();
+    }
+    format!("{path}.{key}")
+}
+
+/// Returns a path without the indices of lists.
+fn pattern(path: &str) -> String {
+    path.split('.')
+        .map(|part| part.split('[').next().unwrap_or(part))
+        .collect::<Vec<_>>()
+        .join(".")
+}
+
+fn children(fields: &[Field], parent: &str) -> BTreeSet<&'static str> {
+    let below = |field: &Field| {
+        let rest = match parent {
+            "" => Some(field.path),
+            _ => field.path.strip_prefix(parent)?.strip_prefix('.'),
+        };
+        rest?.split('.').next()
+    };
+    fields.iter().filter_map(below).collect()
+}
