feat(events): record numbered events in a ring with a hybrid logical clock

Cause: a time line over all processes needs events in causal order, and callers of `Events` need the numbers. Ruled out: wall time alone, which orders a cause after its effect when two clocks differ. Change: a bounded ring with sequence numbers and a count of what it dropped, a rate for frequent kinds, a clock that peer messages carry, one line of log an event, and a catalogue as constants, with `docs/EVENTS.md` checked against it. Seen failing: witness ignored (stamps_order_causes_over_processes), no drop (a_full_ring_drops...), no rate (a_frequent_kind_is_sampled_each_second), a changed row or none (the_page_lists_exactly_the_catalogue).

--- a/crates/cowslipcross/src/events.rs
+++ b/crates/cowslipcross/src/events.rs
@@ -1,6 +1,29 @@
-//! Numbered events of this process.
+//! Numbered events of this process, in a bounded ring and in the log.
 
-use {cowslip_decide::names::Name, std::fmt};
+pub mod catalogue;
+pub mod clock;
+pub mod logger;
+mod ring;
+
+pub use {
+    catalogue::*,
+    clock::Stamp,
+    ring::{Event, Page},
+};
+
+use {
+    clock::Clock,
+    cowslip_decide::names::{Incarnation, Name},
+    ring::Ring,
+    spdlog::Logger,
+    std::{
+        fmt,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Events that are kept unless the settings say otherwise.
+const CAPACITY: usize = 1024;
 
 /// Number of a kind of event; `docs/EVENTS.md` lists them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -21,14 +44,111 @@
     pub detail: Option<String>,
 }
 
-/// Handle that records events; clones share one bounded ring.
-#[derive(Clone, Debug, Default)]
-pub struct Events;
+/// The process that events come from.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    /// Name of the instance.
+    pub process: Name,
+    /// Data centre of the instance.
+    pub data_centre: Name,
+    /// Run of the instance.
+    pub incarnation: Incarnation,
+}
+
+/// Handle that records events; clones share one bounded ring and one clock.
+#[derive(Clone)]
+pub struct Events {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    origin: Origin,
+    logger: Option<Arc<Logger>>,
+    state: Mutex<State>,
+}
+
+struct State {
+    clock: Clock,
+    ring: Ring,
+}
 
 impl Events {
-    /// Records an event.
+    /// Returns a handle to an empty ring of `capacity` events; without a logger nothing is logged.
+    pub fn new(origin: Origin, capacity: usize, logger: Option<Arc<Logger>>) -> Self {
+        let state = State {
+            clock: Clock::default(),
+            ring: Ring::new(capacity),
+        };
+        let shared = Shared {
+            origin,
+            logger,
+            state: Mutex::new(state),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Records an event; beyond the rate of its kind it is only counted.
     pub fn note(&self, code: Code, about: About) {
-        let _ = (code, about);
+        let kind = catalogue::kind(code);
+        let Some(event) = self.record(kind, about) else {
+            return;
+        };
+        if let Some(logger) = &self.shared.logger {
+            spdlog::log!(logger: logger, kind.level.into(), "{event}");
+        }
+    }
+
+    /// Returns a stamp that is later than every stamp before; it goes out with peer messages.
+    pub fn clock(&self) -> Stamp {
+        self.state().clock.tick()
+    }
+
+    /// Moves the clock past the stamp of a message that came in.
+    pub fn witness(&self, stamp: Stamp) {
+        self.state().clock.witness(stamp);
+    }
+
+    /// Returns the kept events with a number above `after`, the oldest first.
+    pub fn page(&self, after: u64) -> Page {
+        self.state().ring.page(after)
+    }
+
+    fn record(&self, kind: &Kind, about: About) -> Option<Event> {
+        let mut state = self.state();
+        let stamp = state.clock.tick();
+        if !state.ring.admit(kind, stamp) {
+            return None;
+        }
+        let event = Event::new(&self.shared.origin, stamp, kind, about);
+        Some(state.ring.push(event))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for Events {
+    /// Returns a handle of a nameless process that logs nothing.
+    fn default() -> Self {
+        let origin = Origin {
+            process: "".into(),
+            data_centre: "".into(),
+            incarnation: Incarnation(0),
+        };
+        Self::new(origin, CAPACITY, None)
+    }
+}
+
+impl fmt::Debug for Events {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let origin = &self.shared.origin;
+        f.debug_struct("Events")
+            .field("origin", origin)
+            .finish_non_exhaustive()
     }
 }
 
--- /dev/null
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -0,0 +1,244 @@
+//! Every kind of event: its number, weight, text, meaning and what an operator does.
+
+use {
+    super::{About, Code},
+    serde::Serialize,
+};
+
+/// Events a second that a frequent kind records; further ones are counted.
+const FREQUENT: Option<u32> = Some(50);
+
+/// Weight of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// The course of a request; kept in the ring, not logged by default.
+    Debug,
+    /// A change that is part of ordinary work.
+    Info,
+    /// Something failed and the system deals with it.
+    Warn,
+    /// Something an operator should look at.
+    Error,
+}
+
+/// A kind of event.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// Number.
+    pub code: Code,
+    /// Weight.
+    pub level: Level,
+    /// Events a second that are recorded; `None` for all.
+    pub rate: Option<u32>,
+    /// Text with places for what the event is about.
+    pub template: &'static str,
+    /// What has happened.
+    pub meaning: &'static str,
+    /// What an operator does about it.
+    pub action: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($code:literal $name:ident $level:ident $rate:expr; $template:literal; $meaning:literal; $action:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $name: Code = Code($code);
+        )*
+
+        /// Every kind in the order of the numbers.
+        pub const CATALOGUE: &[Kind] = &[
+            $(Kind {
+                code: $name,
+                level: Level::$level,
+                rate: $rate,
+                template: $template,
+                meaning: $meaning,
+                action: $action,
+            },)*
+        ];
+    };
+}
+
+catalogue! {
+    101 START Info None; "started: {detail}";
+        "The process runs and listens."; "Nothing.";
+    102 STOP_BEGUN Info None; "stop begun: {detail}";
+        "The process refuses new work and finishes what is in flight."; "Nothing.";
+    103 STOP_ENDED Info None; "stop ended: {detail}";
+        "Nothing is in flight any more and the process ends."; "Nothing.";
+    104 STOP_OVERDUE Error None; "stop overdue: {detail}";
+        "The bound of a stop passed with work in flight; the process ends all the same.";
+        "Look which target kept the requests; raise `limits.stop_ms` if their deadlines are longer.";
+    105 RING_FULL Warn FREQUENT; "ring full: {detail}";
+        "A duty could not take more work, which was refused as `not-run`.";
+        "Compare the load with the capacity page; add instances.";
+    106 CONNECTION_REFUSED Warn FREQUENT; "connection of a caller closed: {detail}";
+        "The process has as many connections or requests of callers as it may have.";
+        "Look for callers that leave connections open; add instances.";
+    201 LEASE_GAINED Info None; "lease gained at {detail}";
+        "A majority of the members acknowledges this instance; it may send."; "Nothing.";
+    202 LEASE_LOST Warn None; "lease lost: {detail}";
+        "No majority acknowledges this instance; it sends nothing to targets.";
+        "If it lasts, look for a network partition or a paused process.";
+    203 INSTANCE_LOST Warn None; "instance {instance} lost: {detail}";
+        "A majority has let its promise to the instance run out; standbys take its targets over.";
+        "See that the platform replaces the instance.";
+    204 TARGET_SILENT Warn FREQUENT; "target {target} silent: {detail}";
+        "The holder has no answer of the target for longer than `timing.silence_ms`.";
+        "Nothing, if the target is back or `CC0205` follows.";
+    205 TARGET_LOST Warn None; "target {target} lost: {detail}";
+        "The standby owns the ranges of the target from now on.";
+        "See that the target is replaced or restarted.";
+    206 VERSION_ADOPTED Info None; "assignment adopted: {detail}";
+        "The instance follows a later assignment."; "Nothing.";
+    207 VERSION_IN_FORCE Info None; "assignment in force: {detail}";
+        "Every member has settled what the assignment took away."; "Nothing.";
+    208 PLANNER_ELECTED Info None; "instance {instance} is planner: {detail}";
+        "The instance holds the planner row of the table."; "Nothing.";
+    209 PLANNER_REPLACED Info None; "instance {instance} is no longer planner: {detail}";
+        "Another instance holds the planner row with a higher epoch."; "Nothing.";
+    210 ASSIGNMENT_RECORDED Info None; "assignment recorded: {detail}";
+        "The planner has written an assignment to the table."; "Nothing.";
+    211 RANGE_MOVED Info None; "range {key} owned by target {target}: {detail}";
+        "A range of keys has another owner or another fence."; "Nothing.";
+    212 MEMBER_SYNCED Info None; "synced: {detail}";
+        "After its start the instance knows what a majority knows and takes part."; "Nothing.";
+    213 PEER_REFUSED Error FREQUENT; "instance {instance} refused: {detail}";
+        "A peer has another deployment or another token.";
+        "Compare `deployment` and `token` of the two settings.";
+    301 TABLE_DOWN Warn None; "table service down: {detail}";
+        "The table does not answer; what is recorded stays in force, orders are refused as `not-run`.";
+        "See the page on outages of the table.";
+    302 TABLE_UP Info None; "table service up: {detail}";
+        "The table answers again."; "Nothing.";
+    303 WRITE_SETTLED Info None; "write settled by reading back: {detail}";
+        "The answer to a write was lost; the row says whether it took effect."; "Nothing.";
+    304 CONFIG_IN_FORCE Info None; "configuration in force: {detail}";
+        "The instance follows a later configuration."; "Nothing.";
+    305 CONFIG_REFUSED Error None; "configuration refused: {detail}";
+        "The document of a version cannot be had or does not pass the checks; the former stays in force.";
+        "Run `cowslipctl check` and publish a good document.";
+    306 DATA_CENTRE_WITHDRAWN Info None; "data centre withdrawn: {detail}";
+        "Targets of the data centre get no new work from this instance."; "Nothing.";
+    307 DATA_CENTRE_RESTORED Info None; "data centre restored: {detail}";
+        "Targets of the data centre may get new work again."; "Nothing.";
+    308 OBJECTS_DOWN Warn FREQUENT; "object store down: {detail}";
+        "The object store does not answer; documents come from peers."; "Look at the platform.";
+    309 LIST_DOWN Warn FREQUENT; "instance list down: {detail}";
+        "The instance list does not answer; the last one stays in use."; "Look at the platform.";
+    401 TARGET_COLD Info None; "target {target} cold: {detail}";
+        "The target is new, was restarted, or behaves like it; it gets its cold limit."; "Nothing.";
+    402 TARGET_WARM Info None; "target {target} warm: {detail}";
+        "Successes have raised the limit of the target to its slots."; "Nothing.";
+    403 CONNECTION_SILENT Warn FREQUENT; "connection to target {target} silent: {detail}";
+        "A connection made no progress and was closed; what was on it may have run.";
+        "If it is frequent, look at what stands between the instance and the target.";
+    404 TARGET_SHED Debug FREQUENT; "target {target} shed request {request}: {detail}";
+        "The target refused a request without running it.";
+        "If it is frequent, compare `slots` of the target with what it bears.";
+    405 TARGET_LEAVING Info None; "target {target} leaving: {detail}";
+        "The target drains and gets no new work."; "Nothing.";
+    406 FENCE_REFUSED Warn FREQUENT; "target {target} refused a fence: {detail}";
+        "The target has seen a higher fence than that of a request or a grant.";
+        "Nothing, if it ends within seconds of a move.";
+    407 TARGET_HELD Info None; "target {target} held: {detail}";
+        "This instance sends to the target from now on."; "Nothing.";
+    408 TARGET_RELEASED Info None; "target {target} released: {detail}";
+        "This instance has nothing in flight to the target and sends no more."; "Nothing.";
+    501 REFUSED Debug FREQUENT; "request {request} refused: {detail}";
+        "A caller got a refusal with a verdict and a reason.";
+        "See the page on refused orders if `cowslipcross_refusals_total` grows.";
+    502 BAD_REQUEST Debug FREQUENT; "bad request {request}: {detail}";
+        "A caller sent what is not valid."; "Tell the caller's team.";
+    503 HEDGE Debug FREQUENT; "request {request} hedged to target {target}: {detail}";
+        "A repeatable request was sent to a second target."; "Nothing.";
+    504 RETRY Debug FREQUENT; "request {request} tried again: {detail}";
+        "An attempt ended as `not-run` or may be repeated."; "Nothing.";
+    505 WRONG_HOLDER Debug FREQUENT; "request {request} came to a wrong holder: {detail}";
+        "The sender follows an older assignment."; "Nothing, if it ends within a second.";
+    506 ORDER_JOURNALLED Debug None; "order {request} journalled: {detail}";
+        "The order is recorded in the table and may now be sent."; "Nothing.";
+    507 ORDER_ANSWERED Debug None; "order {request} answered: {detail}";
+        "The end of the order is known."; "Nothing.";
+    508 ORDER_DUPLICATE Info FREQUENT; "order {request} came again: {detail}";
+        "The order was recorded before and was not run again."; "Nothing.";
+    509 ORDER_TAKEN_OVER Info None; "order {request} taken over: {detail}";
+        "The first try ended as `not-run`, and this instance tries it again."; "Nothing.";
+    510 ANSWER_BROKEN Warn FREQUENT; "answer to request {request} broken: {detail}";
+        "No whole answer came back from the target; the verdict is `may-have-run`.";
+        "For an order, see the page on refused orders.";
+    511 REQUEST_SENT Debug FREQUENT; "request {request} sent to target {target}: {detail}";
+        "A request left for a target."; "Nothing.";
+    999 UNLISTED Error FREQUENT; "unlisted event: {detail}";
+        "The program used a number that is not in this catalogue."; "Report it to the developers.";
+}
+
+/// Returns the kind of a number.
+pub fn kind(code: Code) -> &'static Kind {
+    let place = CATALOGUE.binary_search_by_key(&code, |kind| kind.code);
+    &CATALOGUE[place.unwrap_or(CATALOGUE.len() - 1)]
+}
+
+impl Kind {
+    /// Returns the text of an event of this kind.
+    pub fn text(&self, about: &About) -> String {
+        let mut text = String::with_capacity(96);
+        let mut rest = self.template;
+        while let Some((before, after)) = rest.split_once('{') {
+            text.push_str(before);
+            let (place, after) = after.split_once('}').unwrap_or((after, ""));
+            text.push_str(about.part(place).unwrap_or("-"));
+            rest = after;
+        }
+        text.push_str(rest);
+        text
+    }
+
+    /// Returns the row of this kind in `docs/EVENTS.md`.
+    pub fn row(&self) -> String {
+        format!(
+            "| `{}` | {} | {} | {} | {} |",
+            self.code,
+            self.level.as_str(),
+            self.template,
+            self.meaning,
+            self.action
+        )
+    }
+}
+
+impl Level {
+    /// Returns the word that logs and docs use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Debug => "debug",
+            Self::Info => "info",
+            Self::Warn => "warn",
+            Self::Error => "error",
+        }
+    }
+}
+
+impl From<Level> for spdlog::Level {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Debug => Self::Debug,
+            Level::Info => Self::Info,
+            Level::Warn => Self::Warn,
+            Level::Error => Self::Error,
+        }
+    }
+}
+
+impl About {
+    fn part(&self, place: &str) -> Option<&str> {
+        match place {
+            "request" => self.request.as_deref(),
+            "key" => self.key.as_deref(),
+            "target" => self.target.as_deref(),
+            "instance" => self.instance.as_deref(),
+            _ => self.detail.as_deref(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslipcross/src/events/clock.rs
@@ -0,0 +1,70 @@
+//! A hybrid logical clock: wall time that never goes back and follows what other processes say.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::time::{SystemTime, UNIX_EPOCH},
+    tokio::time::Instant,
+};
+
+/// A moment of a hybrid logical clock.
+///
+/// If one event can have caused another, its stamp is the lower one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Milliseconds since 1970.
+    pub wall: u64,
+    /// Orders the moments of one millisecond.
+    pub count: u32,
+}
+
+/// The clock of one process.
+#[derive(Debug)]
+pub(super) struct Clock {
+    wall: u64,
+    start: Instant,
+    last: Stamp,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self {
+            wall: since.map_or(0, |it| it.as_millis() as u64),
+            start: Instant::now(),
+            last: Stamp::default(),
+        }
+    }
+}
+
+impl Clock {
+    /// Returns the next stamp.
+    pub fn tick(&mut self) -> Stamp {
+        let wall = self.now();
+        self.last = match wall > self.last.wall {
+            true => Stamp { wall, count: 0 },
+            false => self.last.next(),
+        };
+        self.last
+    }
+
+    /// Moves the clock to a stamp from outside, if that is later.
+    pub fn witness(&mut self, stamp: Stamp) {
+        self.last = self.last.max(stamp);
+    }
+
+    fn now(&self) -> u64 {
+        self.wall + self.start.elapsed().as_millis() as u64
+    }
+}
+
+impl Stamp {
+    fn next(self) -> Self {
+        match self.count.checked_add(1) {
+            Some(count) => Self { count, ..self },
+            None => Self {
+                wall: self.wall + 1,
+                count: 0,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslipcross/tests/events.rs
@@ -0,0 +1,122 @@
+//! Events: ring, clock, rates, texts and the catalogue's page.
+
+use {
+    cowslip_decide::names::Incarnation,
+    cowslipcross::events::{self, About, CATALOGUE, Code, Events, Level, Origin, Stamp},
+    std::{collections::BTreeSet, time::Duration},
+};
+
+fn events(capacity: usize) -> Events {
+    let origin = Origin {
+        process: "entry-1".into(),
+        data_centre: "hk-1".into(),
+        incarnation: Incarnation(7),
+    };
+    Events::new(origin, capacity, None)
+}
+
+#[test]
+fn a_full_ring_drops_the_oldest_and_counts_them() {
+    let events = events(3);
+    (0..5).for_each(|_| events.note(events::LEASE_GAINED, About::default()));
+    let page = events.page(0);
+    let seqs: Vec<_> = page.events.iter().map(|event| event.seq).collect();
+    assert_eq!((seqs, page.dropped), (vec![3, 4, 5], 2));
+    assert_eq!(events.page(4).events.len(), 1);
+    assert_eq!(events.page(9).events.len(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_frequent_kind_is_sampled_each_second() {
+    let events = events(1000);
+    (0..60).for_each(|_| events.note(events::REFUSED, About::default()));
+    assert_eq!(events.page(0).events.len(), 50);
+    assert_eq!(events.page(0).skipped["CC0501"], 10);
+    tokio::time::advance(Duration::from_secs(1)).await;
+    events.note(events::REFUSED, About::default());
+    assert_eq!(events.page(0).events.len(), 51);
+}
+
+#[tokio::test(start_paused = true)]
+async fn stamps_order_causes_over_processes() {
+    let (left, right) = (events(10), events(10));
+    let mut last = left.clock();
+    for step in 0..100 {
+        let ahead = Stamp {
+            wall: last.wall + step % 3,
+            count: u32::MAX - (step as u32 % 2),
+        };
+        right.witness(ahead);
+        let answer = right.clock();
+        assert!(answer > ahead, "{answer:?} after {ahead:?}");
+        left.witness(answer);
+        let stamp = left.clock();
+        assert!(stamp > answer && stamp > last, "{stamp:?} after {answer:?}");
+        last = stamp;
+        if step % 7 == 0 {
+            tokio::time::advance(Duration::from_millis(step)).await;
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_clock_follows_the_clock_of_the_runtime() {
+    let events = events(10);
+    let before = events.clock();
+    tokio::time::advance(Duration::from_millis(1500)).await;
+    assert_eq!(events.clock().wall - before.wall, 1500);
+}
+
+#[test]
+fn an_event_says_what_it_is_about() {
+    let events = events(10);
+    let about = About {
+        target: Some("board-3".into()),
+        detail: Some("300 ms".to_owned()),
+        ..About::default()
+    };
+    events.note(events::TARGET_SILENT, about);
+    events.note(Code(7), About::default());
+    let page = events.page(0);
+    let event = &page.events[0];
+    assert_eq!(event.text, "target board-3 silent: 300 ms");
+    assert_eq!((event.code.as_str(), event.level), ("CC0204", Level::Warn));
+    let json = serde_json::to_value(event).expect("JSON");
+    assert_eq!(json["process"], "entry-1");
+    assert_eq!(json["data_centre"], "hk-1");
+    assert_eq!(json["incarnation"], 7);
+    assert_eq!(json["wall"], event.stamp.wall);
+    assert!(json.get("key").is_none());
+    assert_eq!(page.events[1].code, "CC0999");
+}
+
+#[test]
+fn the_catalogue_is_ordered_and_its_texts_have_known_places() {
+    assert!(CATALOGUE.windows(2).all(|pair| pair[0].code < pair[1].code));
+    let known = BTreeSet::from(["request", "key", "target", "instance", "detail"]);
+    for kind in CATALOGUE {
+        let places = kind.template.split('{').skip(1);
+        let places: Vec<_> = places.filter_map(|it| it.split('}').next()).collect();
+        assert!(
+            places.iter().all(|place| known.contains(place)),
+            "{}",
+            kind.template
+        );
+        assert!(
+            !kind.meaning.is_empty() && !kind.action.is_empty(),
+            "{}",
+            kind.code
+        );
+    }
+}
+
+#[test]
+fn the_page_lists_exactly_the_catalogue() {
+    let page = include_str!("../../../docs/EVENTS.md");
+    let rows: Vec<_> = page
+        .lines()
+        .filter(|line| line.starts_with("| `CC"))
+        .collect();
+    let expected: Vec<_> = CATALOGUE.iter().map(|kind| kind.row()).collect();
+    assert_eq!(rows, expected);
+}
