--- /dev/null
+++ b/crates/decide/src/deliver/slots.rs
@@ -0,0 +1,267 @@
+//! Slots of one target: how many requests it may run at the same time, warm or cold.
+
+use {
+    crate::names::Name,
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Successes at the present limit after which the limit grows by one.
+const GROWTH: u32 = 24;
+
+/// Multiple of `GROWTH` that is asked for while the target says that it is cold.
+const SAYS_COLD: u32 = 8;
+
+/// Ratio of two smoothed latencies above which a target behaves cold.
+const JUMP: f64 = 4.0;
+
+/// Smallest latency that counts as a jump.
+const JUMP_FLOOR: Duration = Duration::from_millis(20);
+
+/// Weight of a new time in the short and in the long average.
+const SHORT_WEIGHT: f64 = 0.5;
+const LONG_WEIGHT: f64 = 0.02;
+
+/// Pause after a shed at the cold limit; it doubles with each further one.
+const SHED_PAUSE: Duration = Duration::from_millis(10);
+
+/// Longest pause after sheds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(320);
+
+/// What the document says of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Profile {
+    /// Requests that it runs at the same time once warm.
+    pub slots: u32,
+    /// Requests that it bears at the same time while cold.
+    pub cold: u32,
+}
+
+/// Why a target is back at its cold limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Chill {
+    /// Its start id changed.
+    Restarted,
+    /// Its latency jumped.
+    Slowed,
+    /// It shed a request within its limit.
+    Shed,
+}
+
+/// A slot in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Taken {
+    /// Connection that the request was sent on.
+    link: u64,
+    /// Time by which the request has ended at the target, if its connection is gone.
+    until: Option<Instant>,
+}
+
+/// Slots of one target.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    profile: Profile,
+    limit: u32,
+    successes: u32,
+    running: BTreeMap<u64, Taken>,
+    start: Option<(Name, u64)>,
+    doubt: Option<u64>,
+    says_cold: Option<bool>,
+    foreign: Option<Instant>,
+    pause: Option<Instant>,
+    sheds: u32,
+    short: f64,
+    long: f64,
+}
+
+impl Slots {
+    /// Returns the slots of a target that was just taken on, at its cold limit.
+    ///
+    /// Until `foreign` requests of an earlier holder may still run at the target.
+    pub fn new(profile: Profile, foreign: Option<Instant>) -> Self {
+        Self {
+            profile,
+            limit: profile.cold.min(profile.slots),
+            successes: 0,
+            running: BTreeMap::new(),
+            start: None,
+            doubt: None,
+            says_cold: None,
+            foreign,
+            pause: None,
+            sheds: 0,
+            short: 0.0,
+            long: 0.0,
+        }
+    }
+
+    /// Returns the requests that the target may run at the same time now.
+    pub fn limit(&self, now: Instant) -> u32 {
+        if self.pause.is_some_and(|until| now < until) {
+            return 0;
+        }
+        if self.foreign.is_some_and(|until| now < until) {
+            return match self.says_cold {
+                Some(false) => self.cold(),
+                _ => 0,
+            };
+        }
+        match self.doubt {
+            Some(_) => self.limit.min(self.cold()),
+            None => self.limit,
+        }
+    }
+
+    /// Returns the requests that count against the limit.
+    pub fn in_use(&self, now: Instant) -> u32 {
+        let counts = |taken: &&Taken| taken.until.is_none_or(|until| now < until);
+        self.running.values().filter(counts).count() as u32
+    }
+
+    /// Returns whether another request may be sent.
+    pub fn free(&self, now: Instant) -> bool {
+        self.in_use(now) < self.limit(now)
+    }
+
+    /// Returns the next time at which a slot may become free without an answer.
+    pub fn wake(&self, now: Instant) -> Option<Instant> {
+        let ends = [self.pause, self.foreign].into_iter().flatten();
+        let lingering = self.running.values().filter_map(|taken| taken.until);
+        ends.chain(lingering).filter(|end| *end > now).min()
+    }
+
+    /// Returns the profile.
+    pub fn profile(&self) -> Profile {
+        self.profile
+    }
+
+    /// Takes a changed profile.
+    pub fn reprofile(&mut self, profile: Profile) {
+        self.profile = profile;
+        self.limit = self.limit.min(profile.slots).max(self.cold());
+    }
+
+    /// Counts request `id`, sent on connection `link`.
+    pub fn take(&mut self, id: u64, link: u64) {
+        self.running.insert(id, Taken { link, until: None });
+    }
+
+    /// Uncounts request `id`; returns whether it was counted.
+    pub fn give(&mut self, id: u64) -> bool {
+        self.running.remove(&id).is_some()
+    }
+
+    /// Counts request `id`, whose connection is gone, for as long as it may run at the target.
+    pub fn linger(&mut self, id: u64, until: Instant) {
+        if let Some(taken) = self.running.get_mut(&id) {
+            taken.until = Some(until);
+        }
+    }
+
+    /// Uncounts every request that has ended at the target by now.
+    pub fn expire(&mut self, now: Instant) {
+        let counts = |taken: &Taken| taken.until.is_none_or(|until| now < until);
+        self.running.retain(|_, taken| counts(taken));
+    }
+
+    /// Notes the start id that the target named, or did not name, on connection `link`.
+    ///
+    /// An answer that comes late on a connection older than the newest known run says nothing.
+    pub fn seen(&mut self, start: Option<&str>, link: u64) -> Option<Chill> {
+        let doubted = self.doubt.is_some_and(|doubt| link >= doubt);
+        let Some(start) = start else {
+            return doubted.then(|| self.restart());
+        };
+        let Some((known, newest)) = &mut self.start else {
+            self.start = Some((start.into(), link));
+            return doubted.then(|| self.restart());
+        };
+        if known.as_ref() == start {
+            *newest = link.max(*newest);
+            self.doubt = self.doubt.filter(|_| !doubted);
+            return None;
+        }
+        if link <= *newest {
+            return None;
+        }
+        self.start = Some((start.into(), link));
+        self.foreign = None;
+        self.running.retain(|_, taken| taken.link >= link);
+        Some(self.restart())
+    }
+
+    /// Notes that a connection broke: until a connection from `link` on shows the same start id,
+    /// the target may have restarted.
+    pub fn doubt(&mut self, link: u64) {
+        self.doubt = self.doubt.max(Some(link));
+    }
+
+    /// Notes what the health of the target says; it only ever lowers the limit.
+    pub fn reported(&mut self, cold: bool) {
+        self.says_cold = Some(cold);
+    }
+
+    /// Notes a whole answer that took `time` at the target.
+    pub fn succeeded(&mut self, time: Duration, now: Instant) -> Option<Chill> {
+        self.sheds = 0;
+        self.pause = None;
+        if self.jumped(time) {
+            self.chill();
+            return Some(Chill::Slowed);
+        }
+        if self.foreign.is_some_and(|until| now < until) {
+            return None;
+        }
+        self.successes += 1;
+        let factor = match self.says_cold {
+            Some(true) => SAYS_COLD,
+            _ => 1,
+        };
+        if self.successes >= GROWTH * factor && self.limit < self.profile.slots {
+            self.successes = 0;
+            self.limit += 1;
+        }
+        None
+    }
+
+    /// Notes that the target shed a request without running it.
+    pub fn shed(&mut self, now: Instant) -> Chill {
+        if self.limit <= self.cold() {
+            let pause = SHED_PAUSE * 2u32.pow(self.sheds.min(8));
+            self.pause = Some(now + pause.min(LONGEST_PAUSE));
+            self.sheds += 1;
+        }
+        self.chill();
+        Chill::Shed
+    }
+
+    fn cold(&self) -> u32 {
+        self.profile.cold.min(self.profile.slots)
+    }
+
+    fn restart(&mut self) -> Chill {
+        self.doubt = None;
+        self.short = 0.0;
+        self.long = 0.0;
+        self.chill();
+        Chill::Restarted
+    }
+
+    fn chill(&mut self) {
+        self.limit = self.cold();
+        self.successes = 0;
+    }
+
+    fn jumped(&mut self, time: Duration) -> bool {
+        let seconds = time.as_secs_f64();
+        if self.long == 0.0 {
+            self.short = seconds;
+            self.long = seconds;
+            return false;
+        }
+        self.short += SHORT_WEIGHT * (seconds - self.short);
+        self.long += LONG_WEIGHT * (seconds - self.long);
+        let floor = JUMP_FLOOR.as_secs_f64();
+        self.short > floor && self.short > JUMP * self.long
+    }
+}
