--- a/crates/settings/src/process/platform.rs
+++ b/crates/settings/src/process/platform.rs
@@ -15,6 +15,9 @@
 const TABLE_NAME: Field = name("platform.table_name", "Name of the table.");
 const BUCKET: Field = name("platform.bucket", "Bucket of the object store.");
 
+/// Start of every URL of the platform.
+const SCHEME: &str = "http://";
+
 /// Services of the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Platform {
@@ -49,6 +52,11 @@
     }
 }
 
+/// Returns the `ip:port` of a URL of the settings.
+pub fn address(url: &str) -> &str {
+    url.strip_prefix(SCHEME).unwrap_or(url)
+}
+
 const fn url(path: &'static str, meaning: &'static str) -> Field {
     Field {
         path,
