feat(member): leases, losses and versions agreed by heartbeats

Cause: an instance must know whether it may send, which losses are in force and when the entries of a new version are, with the table up or down.

Change: cowslip_decide::member with Member, Timing, Step, View, Heartbeat, Ack and Status. Points beyond docs/DESIGN.md: - Losses go on to v+1 while an entry recorded no later than the loss still names the lost one, so that a planner that did not know of a loss cannot undo it; a planner takes a loss in by renewing since. - Silence is first only told; a member gives up another (irrevocably for the version) once a majority finds it silent. A cut pair alone loses nobody. - A version below which nobody sends (the floor) is worked out from reports and told on; since <= floor is in force. A standby also needs the floor to reach its own version, since standbys may differ between versions. - What was in force at v with the same owner and fence (or holder) goes on at v+1 without a break while the lease has none. - Assignment.reset lists the runs that a version lets start over, so adopt() needs no flag and takes the row from the table and from peers alike.

Ruled out: binding doubts at first silence (one cut pair would wear down a member's lease for the rest of an outage).

--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -1,7 +1,7 @@
 //! The assignment: which target owns which keys, and which instance sends to which target.
 
 use {
-    crate::names::{Epoch, Fence, Name, Version},
+    crate::names::{Epoch, Fence, Incarnation, Name, Version},
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -19,7 +19,10 @@
     pub standby: Option<Name>,
     /// Fence of the owner; the standby's is one higher.
     pub fence: Fence,
-    /// Version of the assignment in which the owner or its fence last changed.
+    /// Version of the assignment in which the owner, its fence or the bounds last changed.
+    ///
+    /// A new owner other than the standby gets a fence at least two higher: the standby may have
+    /// used the next one.
     pub since: Version,
 }
 
@@ -33,6 +36,8 @@
     /// Version of the assignment in which the holder last changed.
     pub since: Version,
     /// Pool of the target: the targets of one undivided service that one holder serves.
+    ///
+    /// It bears the name of its service, alone or followed by `/` and more.
     pub pool: Option<Name>,
 }
 
@@ -51,6 +56,12 @@
     pub ranges: BTreeMap<Name, Vec<KeyRange>>,
     /// Holder of each target.
     pub holdings: BTreeMap<Name, Holding>,
+    /// Runs of the instances that this version lets start over, after too many of the members had
+    /// lost their state; empty in an ordinary version.
+    ///
+    /// Such a version renews every `since` and raises every fence by two.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub reset: BTreeMap<Name, Incarnation>,
 }
 
 /// What was lost since an assignment was recorded; both sets only grow within one version.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod assign;
 pub mod duty;
 pub mod key;
+pub mod member;
 pub mod names;
 pub mod verdict;
