--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod deliver;
 pub mod duty;
 pub mod key;
+pub mod member;
 pub mod names;
 pub mod verdict;
