feat(hold): send to the held targets from one thread

The duty takes tickets and commands from bounded rings, queues by lane, sends on reused HTTP/1.1 connections, renews grants and probes, and ends each ticket with a verdict. Every write of a request passes a gate that reads the lease right before the bytes go to the system and counts them, so that 'not run' rests on the count and not on kinds of error.

--- a/crates/cowslipcross/src/lib.rs
+++ b/crates/cowslipcross/src/lib.rs
@@ -1,4 +1,5 @@
 //! An entry instance of cowslipcross: its duties and what joins them.
 
 pub mod events;
+pub mod hold;
 pub mod work;
--- a/crates/decide/src/deliver/lane.rs
+++ b/crates/decide/src/deliver/lane.rs
@@ -351,9 +351,10 @@
             let fits = except.is_empty() && server.is_free(now);
             return fits.then(|| name.clone());
         }
-        let open = self.servers.iter().filter(|(name, server)| {
-            server.is_open() && !except.contains(name)
-        });
+        let open = self
+            .servers
+            .iter()
+            .filter(|(name, server)| server.is_open() && !except.contains(name));
         let (names, all): (Vec<&Name>, Vec<Candidate>) = open
             .map(|(name, server)| (name, server.candidate(now)))
             .unzip();
@@ -403,7 +404,11 @@
             false => self.slots_wake(now),
         };
         let hedge = match self.servers.len() > 1 && self.hedges.allows() {
-            true => self.running.values().filter_map(|one| self.hedge_time(one)).min(),
+            true => self
+                .running
+                .values()
+                .filter_map(|one| self.hedge_time(one))
+                .min(),
             false => None,
         };
         [hopeless, slots, hedge]
--- a/crates/decide/src/deliver/queue.rs
+++ b/crates/decide/src/deliver/queue.rs
@@ -108,7 +108,7 @@
                 let lowest = from_low.next();
                 from_low.next().or(lowest)
             }
-            _ => from_low.last(),
+            _ => from_low.next_back(),
         };
         let (_, id) = self.ranks[rank?].first()?;
         self.entries.get(id)
--- a/crates/decide/src/deliver/server.rs
+++ b/crates/decide/src/deliver/server.rs
@@ -45,6 +45,7 @@
     pub served: u64,
     idle: Vec<u64>,
     open: bool,
+    granted: bool,
     sent: BTreeMap<u64, Instant>,
     latency: Option<f64>,
     errors: f64,
@@ -59,6 +60,7 @@
             served: 0,
             idle: Vec::new(),
             open: true,
+            granted: true,
             sent: BTreeMap::new(),
             latency: None,
             errors: 0.0,
@@ -76,6 +78,11 @@
         self.open
     }
 
+    /// Notes whether the target has the grant that its requests need.
+    pub fn set_granted(&mut self, granted: bool) {
+        self.granted = granted;
+    }
+
     /// Adds an idle connection.
     pub fn ready(&mut self, link: u64) {
         self.idle.push(link);
@@ -155,7 +162,7 @@
 
     /// Returns whether the target may get a request now.
     pub fn is_free(&self, now: Instant) -> bool {
-        self.open && !self.idle.is_empty() && self.slots.free(now)
+        self.open && self.granted && !self.idle.is_empty() && self.slots.free(now)
     }
 
     fn observe(&mut self, time: Duration, error: bool) {
--- a/crates/decide/src/deliver/slots.rs
+++ b/crates/decide/src/deliver/slots.rs
@@ -184,12 +184,31 @@
         if link <= *newest {
             return None;
         }
+        let last = *newest;
         self.start = Some((start.into(), link));
         self.foreign = None;
-        self.running.retain(|_, taken| taken.link >= link);
+        self.running.retain(|_, taken| taken.link > last);
         Some(self.restart())
     }
 
+    /// Notes that an answer to what was asked after the last break named this start id.
+    pub fn confirm(&mut self, start: &str) {
+        if self
+            .start
+            .as_ref()
+            .is_some_and(|(known, _)| known.as_ref() == start)
+        {
+            self.doubt = None;
+        }
+    }
+
+    /// Takes the target on again: until `foreign` requests of another holder may run there.
+    pub fn retake(&mut self, foreign: Option<Instant>) {
+        self.foreign = foreign;
+        self.says_cold = None;
+        self.chill();
+    }
+
     /// Notes that a connection broke: until a connection from `link` on shows the same start id,
     /// the target may have restarted.
     pub fn doubt(&mut self, link: u64) {
