--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! can run the machines at any speed.
 
 pub mod assign;
+pub mod commit;
 pub mod deliver;
 pub mod duty;
 pub mod key;
