--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod commit;
 pub mod deliver;
 pub mod duty;
+pub mod elect;
 pub mod key;
 pub mod names;
 pub mod verdict;
