--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,8 +5,11 @@
 //! can run the machines at any speed.
 
 pub mod assign;
+pub mod commit;
 pub mod deliver;
 pub mod duty;
+pub mod elect;
 pub mod key;
+pub mod member;
 pub mod names;
 pub mod verdict;
