fix(deliver): judge a new start id by connection and time

A connection opened before an unnoticed restart could send at the warm limit; every new connection now asks for the health first, so that its run is known before a request goes on it.

--- a/crates/cowslipcross/src/hold/desk.rs
+++ b/crates/cowslipcross/src/hold/desk.rs
@@ -310,11 +310,11 @@
                 told,
                 sender,
             } => {
-                self.control_ready(&target, number, sender);
                 if let Some(mut signs) = signs {
                     signs.start = told.start().or(signs.start);
                     self.signs(&target, number, &signs, begun, now);
                 }
+                self.exchanged(&target, number, sender, now);
                 self.told(&target, begun, ask, told, now);
             }
         }
--- a/crates/cowslipcross/src/hold/sites.rs
+++ b/crates/cowslipcross/src/hold/sites.rs
@@ -4,7 +4,7 @@
     super::{
         attempt::{Body, Signs},
         codes,
-        control::Ask,
+        control::{self, Ask},
         desk::Desk,
         gate::Lease,
         lanes::LaneKey,
@@ -13,7 +13,10 @@
     },
     crate::{events::About, work::Outcome},
     cowslip_decide::{
-        deliver::{server::Server, slots::Chill},
+        deliver::{
+            server::Server,
+            slots::{Chill, Source},
+        },
         names::Name,
         verdict::Reason,
     },
@@ -208,17 +211,23 @@
                 site.control = Some((number, link));
                 self.exchange(target, now);
             }
-            Use::Work => {
-                site.links.insert(number, link);
-                if let Some(server) = self.server(target) {
-                    server.ready(number);
-                }
-                self.touch(target);
-            }
+            Use::Work => self.greet(target, number, link),
         }
         self.connect(target, now);
     }
 
+    /// Asks for the health of a target on a new connection, which shows the run it belongs to.
+    fn greet(&mut self, target: &str, number: u64, mut link: Link) {
+        let post = self.post.clone();
+        if let Some(sender) = link.sender.take() {
+            let name = target.into();
+            tokio::spawn(control::exchange(name, number, sender, Ask::Probe, post));
+        }
+        if let Some(site) = self.sites.get_mut(target) {
+            site.links.insert(number, link);
+        }
+    }
+
     /// Notes that a connection could not be opened.
     pub fn unopened(&mut self, target: &str, _kind: Use, now: Instant) {
         let Some(site) = self.sites.get_mut(target) else {
@@ -293,17 +302,24 @@
         self.touch(target);
     }
 
-    /// Notes the control connection after an exchange.
-    pub fn control_ready(&mut self, target: &str, number: u64, sender: Option<SendRequest<Body>>) {
+    /// Notes the connection of an exchange that has ended.
+    pub fn exchanged(
+        &mut self,
+        target: &str,
+        number: u64,
+        sender: Option<SendRequest<Body>>,
+        now: Instant,
+    ) {
         let Some(site) = self.sites.get_mut(target) else {
             return;
         };
-        let Some((known, link)) = &mut site.control else {
-            return;
+        let control = site.control.as_mut().filter(|(known, _)| *known == number);
+        let Some((_, link)) = control else {
+            return match sender {
+                Some(sender) => self.ready(target, number, sender, now),
+                None => self.lose(target, number, now),
+            };
         };
-        if *known != number {
-            return;
-        }
         if sender.is_some() {
             link.sender = sender;
             return;
@@ -335,7 +351,11 @@
             if let Some(start) = start.filter(|_| after_break) {
                 server.slots.confirm(start);
             }
-            server.slots.seen(start, number)
+            let from = Source {
+                link: number,
+                begun,
+            };
+            server.slots.seen(start, from, now)
         });
         if chill.is_some()
             && let Some(site) = self.sites.get_mut(target)
--- a/crates/decide/src/deliver/slots.rs
+++ b/crates/decide/src/deliver/slots.rs
@@ -57,6 +57,38 @@
     until: Option<Instant>,
 }
 
+/// Where an answer came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Connection.
+    pub link: u64,
+    /// Time at which it was asked for.
+    pub begun: Instant,
+}
+
+/// A run of the target.
+#[derive(Clone, Debug)]
+struct Run {
+    start: Name,
+    /// First connection that can belong to this run.
+    first: u64,
+    /// Newest connection that showed this run.
+    newest: u64,
+    /// Time of the last answer that showed this run.
+    seen: Instant,
+}
+
+impl Run {
+    fn new(start: &str, newest: u64, seen: Instant) -> Self {
+        Self {
+            start: start.into(),
+            first: 0,
+            newest,
+            seen,
+        }
+    }
+}
+
 /// Slots of one target.
 #[derive(Clone, Debug)]
 pub struct Slots {
@@ -64,7 +96,7 @@
     limit: u32,
     successes: u32,
     running: BTreeMap<u64, Taken>,
-    start: Option<(Name, u64)>,
+    run: Option<Run>,
     doubt: Option<u64>,
     says_cold: Option<bool>,
     foreign: Option<Instant>,
@@ -84,7 +116,7 @@
             limit: profile.cold.min(profile.slots),
             successes: 0,
             running: BTreeMap::new(),
-            start: None,
+            run: None,
             doubt: None,
             says_cold: None,
             foreign,
@@ -152,9 +184,15 @@
     }
 
     /// Counts request `id`, whose connection is gone, for as long as it may run at the target.
+    ///
+    /// A request of an earlier run of the target ended with that run.
     pub fn linger(&mut self, id: u64, until: Instant) {
-        if let Some(taken) = self.running.get_mut(&id) {
-            taken.until = Some(until);
+        let first = self.run.as_ref().map_or(0, |run| run.first);
+        match self.running.get_mut(&id) {
+            Some(taken) if taken.link >= first => taken.until = Some(until),
+            _ => {
+                self.running.remove(&id);
+            }
         }
     }
 
@@ -164,40 +202,45 @@
         self.running.retain(|_, taken| counts(taken));
     }
 
-    /// Notes the start id that the target named, or did not name, on connection `link`.
+    /// Notes the start id that the target named, or did not name, in an answer.
     ///
-    /// An answer that comes late on a connection older than the newest known run says nothing.
-    pub fn seen(&mut self, start: Option<&str>, link: u64) -> Option<Chill> {
-        let doubted = self.doubt.is_some_and(|doubt| link >= doubt);
+    /// A connection belongs to one run of the target. An answer that was asked for before the
+    /// newest known run was seen, on a connection no newer than that run's, says nothing.
+    pub fn seen(&mut self, start: Option<&str>, from: Source, now: Instant) -> Option<Chill> {
+        let doubted = self.doubt.is_some_and(|doubt| from.link >= doubt);
         let Some(start) = start else {
             return doubted.then(|| self.restart());
         };
-        let Some((known, newest)) = &mut self.start else {
-            self.start = Some((start.into(), link));
+        let Some(run) = &mut self.run else {
+            self.run = Some(Run::new(start, from.link, now));
             return doubted.then(|| self.restart());
         };
-        if known.as_ref() == start {
-            *newest = link.max(*newest);
+        if run.start.as_ref() == start {
+            run.newest = run.newest.max(from.link);
+            run.seen = now;
             self.doubt = self.doubt.filter(|_| !doubted);
             return None;
         }
-        if link <= *newest {
+        if from.link <= run.newest && from.begun <= run.seen {
             return None;
         }
-        let last = *newest;
-        self.start = Some((start.into(), link));
+        let last = run.newest;
+        let mut run = Run::new(start, from.link.max(last), now);
+        if from.link > last {
+            run.first = last + 1;
+        }
+        let first = run.first;
+        self.run = Some(run);
         self.foreign = None;
-        self.running.retain(|_, taken| taken.link > last);
+        self.running
+            .retain(|_, taken| taken.link >= first || taken.until.is_none());
         Some(self.restart())
     }
 
     /// Notes that an answer to what was asked after the last break named this start id.
     pub fn confirm(&mut self, start: &str) {
-        if self
-            .start
-            .as_ref()
-            .is_some_and(|(known, _)| known.as_ref() == start)
-        {
+        let same = |run: &Run| run.start.as_ref() == start;
+        if self.run.as_ref().is_some_and(same) {
             self.doubt = None;
         }
     }
