--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -76,6 +76,9 @@
     106 CONNECTION_REFUSED Warn FREQUENT; "connection of a caller closed: {detail}";
         "The process has as many connections or requests of callers as it may have.";
         "Look for callers that leave connections open; add instances.";
+    107 DUTY_FAILED Error None; "duty failed: {detail}";
+        "A duty could not start, and the process cannot do its part.";
+        "Restart the process; look at the detail if it fails again.";
     201 LEASE_GAINED Info None; "lease gained at {detail}";
         "A majority of the members acknowledges this instance; it may send."; "Nothing.";
     202 LEASE_LOST Warn None; "lease lost: {detail}";
--- a/crates/cowslipcross/src/hold/lanes.rs
+++ b/crates/cowslipcross/src/hold/lanes.rs
@@ -122,7 +122,8 @@
     pub fn lane_of(&self, aim: &Aim) -> Option<LaneKey> {
         let key = match aim {
             Aim::Owner { target, .. } => LaneKey::Target(target.clone()),
-            Aim::Pool(pool) => LaneKey::Service(pool.clone()),
+            // The pools of a service that this instance holds share one queue.
+            Aim::Pool(pool) => LaneKey::Service(pool.split('/').next()?.into()),
         };
         self.lanes.contains_key(&key).then_some(key)
     }
--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -145,3 +145,19 @@
         })
     }
 }
+
+impl Assignment {
+    /// Returns this assignment as a reset: every range and holding is new, so that nothing that was
+    /// granted before counts, and the instances of `runs` start over.
+    pub fn start_over(mut self, runs: BTreeMap<Name, Incarnation>) -> Self {
+        for range in self.ranges.values_mut().flatten() {
+            range.since = self.version;
+            range.fence = range.fence.next().next();
+        }
+        for holding in self.holdings.values_mut() {
+            holding.since = self.version;
+        }
+        self.reset = runs;
+        self
+    }
+}
--- a/crates/decide/src/member/query.rs
+++ b/crates/decide/src/member/query.rs
@@ -3,11 +3,14 @@
 use {
     super::{Heartbeat, Member, majority, peer::Peer},
     crate::{
-        assign::Losses,
+        assign::{Assignment, Losses},
         duty::Load,
         names::{Incarnation, Name, Version},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
     tokio::time::Instant,
 };
 
@@ -18,6 +21,11 @@
         assignment.map_or(Version::default(), |assignment| assignment.version)
     }
 
+    /// Returns the assignment that this instance follows.
+    pub fn assignment(&self) -> Option<&Arc<Assignment>> {
+        self.assignment.as_ref()
+    }
+
     /// Returns whether this instance has a lease at `now`.
     pub fn has_lease(&self, now: Instant) -> bool {
         self.lease.is_some_and(|end| now < end)
