--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -18,11 +18,11 @@
     /// Target that owns the range, with the next higher fence, once the owner is lost.
     pub standby: Option<Name>,
     /// Fence of the owner; the standby's is one higher.
-    pub fence: Fence,
-    /// Version of the assignment in which the owner, its fence or the bounds last changed.
     ///
-    /// A new owner other than the standby gets a fence at least two higher: the standby may have
-    /// used the next one.
+    /// A changed standby, and a new owner other than the standby, raise it by two, because the
+    /// earlier standby may have used the next one.
+    pub fence: Fence,
+    /// Version of the assignment in which the owner or the bounds last changed.
     pub since: Version,
 }
 
--- a/crates/decide/src/member/query.rs
+++ b/crates/decide/src/member/query.rs
@@ -67,6 +67,20 @@
         alive.cloned().collect()
     }
 
+    /// Returns the lost instances that were heard lately and are synced; a version that renews
+    /// the `since` of their holdings takes them back.
+    pub fn returning(&self, now: Instant) -> BTreeSet<Name> {
+        let lost = self.losses.instances.iter();
+        let back = lost.filter(|name| self.is_there(now, name) && self.is_synced(name));
+        back.cloned().collect()
+    }
+
+    /// Returns whether a majority of the members is there and synced, so that a planner here
+    /// judges by what most of them know. A lease is not needed: all may be lost at this version.
+    pub fn sees_majority(&self) -> bool {
+        self.bare.is_none()
+    }
+
     /// Returns the newest run of each instance that was heard lately, for a reset.
     pub fn incarnations(&self, now: Instant) -> BTreeMap<Name, Incarnation> {
         let there = self
