--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,3 +1,6 @@
-//! Stand-ins for the platform, targets and callers.
+//! Stand-ins for the platform, the targets and the callers, with a load tool and measures.
 
+pub mod client;
+pub mod clock;
 pub mod platform;
+pub mod target;
