--- a/crates/cowslipcross/src/hold/desk.rs
+++ b/crates/cowslipcross/src/hold/desk.rs
@@ -204,9 +204,13 @@
                     self.command(command.unwrap_or(HoldCommand::Stop));
                 }
                 Some(arrival) = self.arrivals.recv() => self.arrive(arrival),
-                Some(ticket) = tickets.recv() => self.take(ticket),
+                Some(ticket) = tickets.recv() => {
+                    self.obey(&mut commands);
+                    self.take(ticket);
+                }
                 () = sleep_until(wake) => {}
             }
+            self.obey(&mut commands);
             self.catch_up(&mut tickets);
             self.work();
             if self.stopping && self.orders.is_empty() && tickets.is_empty() {
@@ -220,6 +224,13 @@
         self.farewell().await;
     }
 
+    /// Follows every command that has come by now; they go before the work they rule.
+    fn obey(&mut self, commands: &mut mpsc::Receiver<HoldCommand>) {
+        while let Ok(command) = commands.try_recv() {
+            self.command(command);
+        }
+    }
+
     /// Takes what else has come by now, within bounds.
     fn catch_up(&mut self, tickets: &mut mpsc::Receiver<Ticket>) {
         for _ in 0..BATCH {
