--- a/crates/cowslipcross/tests/fake/mod.rs
+++ b/crates/cowslipcross/tests/fake/mod.rs
@@ -11,7 +11,6 @@
     },
     cowslip_settings::document::{Document, Route, Service, Target},
     cowslipcross::{
-        events::Events,
         hold::{self, Context, Handle, HoldCommand},
         work::{Aim, Outcome, Ticket, Work},
     },
@@ -29,6 +28,9 @@
     },
 };
 
+/// Start, end and fence of ranges.
+type Ranges = Vec<(u64, u64, u64)>;
+
 /// What a target has done, by its own record.
 #[derive(Default)]
 pub struct Record {
@@ -46,7 +48,7 @@
     pub running: usize,
     pub most: usize,
     /// Ranges of each accepted grant with their stamp.
-    pub grants: Vec<(u64, Vec<(u64, u64, u64)>)>,
+    pub grants: Vec<(u64, Ranges)>,
     pub connections: usize,
     pub kill: u64,
 }
@@ -318,7 +320,7 @@
         let (reports, ring) = mpsc::channel(1024);
         let context = Context {
             instance: "i0".into(),
-            events: Events::default(),
+            events: Default::default(),
             reports,
         };
         let mut bench = Self {
--- a/crates/decide/src/deliver/queue.rs
+++ b/crates/decide/src/deliver/queue.rs
@@ -9,6 +9,9 @@
 /// One turn in so many goes to the lowest waiting priority, and one to the next higher.
 const SHARE: u32 = 16;
 
+/// Part of the depth that each priority may use whatever the others take.
+const RESERVE: usize = 16;
+
 /// An attempt that waits for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -77,9 +80,15 @@
         }
     }
 
+    /// Returns the entries of each priority that are neither refused nor evicted for others.
+    pub fn reserve(&self) -> usize {
+        self.depth.div_ceil(RESERVE)
+    }
+
     /// Adds an entry, in place of one of lower priority if need be.
     pub fn push(&mut self, entry: Entry) -> Push {
-        if self.len() < self.bound(entry.priority) {
+        let own = self.ranks[entry.priority as usize].len();
+        if self.len() < self.bound(entry.priority) || own < self.reserve() {
             self.insert(entry);
             return Push::Queued;
         }
@@ -95,7 +104,8 @@
     pub fn ahead(&self, priority: Priority, deadline: Instant) -> usize {
         let rank = priority as usize;
         let higher: usize = self.ranks[..rank].iter().map(BTreeSet::len).sum();
-        higher + self.ranks[rank].range(..(deadline, u64::MAX)).count()
+        let same = self.ranks[rank].range(..(deadline, u64::MAX)).count();
+        (higher + same).min((same + 1) * SHARE as usize)
     }
 
     /// Returns the entry whose turn it is.
@@ -146,8 +156,9 @@
     }
 
     fn lowest_below(&self, priority: Priority) -> Option<Entry> {
-        let below = self.ranks[priority as usize + 1..].iter().rev();
-        let (_, id) = below.filter_map(BTreeSet::last).next()?;
+        let mut below = self.ranks[priority as usize + 1..].iter().rev();
+        let rank = below.find(|rank| rank.len() > self.reserve())?;
+        let (_, id) = rank.last()?;
         self.entries.get(id).copied()
     }
 }
--- a/crates/decide/src/deliver/slots.rs
+++ b/crates/decide/src/deliver/slots.rs
@@ -19,9 +19,13 @@
 const JUMP_FLOOR: Duration = Duration::from_millis(20);
 
 /// Weight of a new time in the short and in the long average.
-const SHORT_WEIGHT: f64 = 0.5;
+const SHORT_WEIGHT: f64 = 0.2;
 const LONG_WEIGHT: f64 = 0.02;
 
+/// Multiple of the long average up to which one time counts in the short one, so that a jump takes
+/// at least three answers.
+const CLIP: f64 = 8.0;
+
 /// Pause after a shed at the cold limit; it doubles with each further one.
 const SHED_PAUSE: Duration = Duration::from_millis(10);
 
@@ -321,7 +325,8 @@
             self.long = seconds;
             return false;
         }
-        self.short += SHORT_WEIGHT * (seconds - self.short);
+        let clipped = seconds.min(CLIP * self.long);
+        self.short += SHORT_WEIGHT * (clipped - self.short);
         self.long += LONG_WEIGHT * (seconds - self.long);
         let floor = JUMP_FLOOR.as_secs_f64();
         self.short > floor && self.short > JUMP * self.long
