feat(settings): read the settings of the operators' command

Cause: the command needs the platform, the operators' ports and a token, from a file or from flags alone. Change: `operator::load`, its fields on the configuration page, and one reader of named addresses for peers and instances. Seen failing: the_page_lists_every_setting_of_the_command without rows.

--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -48,9 +48,11 @@
 
     /// Returns the row of this field in `docs/CONFIGURATION.md`.
     pub fn row(&self) -> String {
-        let default = self
-            .default
-            .map_or_else(|| "required".to_owned(), |text| format!("`{text}`"));
+        let default = match self.default {
+            None => "required".to_owned(),
+            Some("") => "empty".to_owned(),
+            Some(text) => format!("`{text}`"),
+        };
         format!(
             "| `{}` | {} | {} | {} | {} |",
             self.path, self.kind, self.unit, default, self.meaning
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod document;
 pub mod error;
 pub mod field;
+pub mod operator;
 pub mod overrides;
 pub mod process;
 mod reader;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -105,7 +105,7 @@
         token: root.text(&TOKEN)?,
         listen: Listen::read(root)?,
         platform: Platform::read(root)?,
-        peers: peers(root)?,
+        peers: root.addresses("peers", &PEER)?,
         timing: Timing::read(root)?,
         limits: Limits::read(root)?,
     };
@@ -113,16 +113,6 @@
     Ok(process)
 }
 
-fn peers(root: &Section<'_>) -> Result<BTreeMap<Name, SocketAddr>> {
-    let Some(section) = root.section("peers")? else {
-        return Ok(BTreeMap::new());
-    };
-    section
-        .entries()
-        .map(|(name, found)| Ok((name.into(), found.address(PEER.kind)?)))
-        .collect()
-}
-
 const fn field(path: &'static str, kind: Kind, meaning: &'static str) -> Field {
     Field {
         path,
--- a/crates/settings/src/process/platform.rs
+++ b/crates/settings/src/process/platform.rs
@@ -9,11 +9,11 @@
     cowslip_decide::names::Name,
 };
 
-const TABLE: Field = url("platform.table", "Table service.");
-const OBJECTS: Field = url("platform.objects", "Object store.");
+pub(crate) const TABLE: Field = url("platform.table", "Table service.");
+pub(crate) const OBJECTS: Field = url("platform.objects", "Object store.");
 const INSTANCES: Field = url("platform.instances", "Instance list.");
-const TABLE_NAME: Field = name("platform.table_name", "Name of the table.");
-const BUCKET: Field = name("platform.bucket", "Bucket of the object store.");
+pub(crate) const TABLE_NAME: Field = name("platform.table_name", "Name of the table.");
+pub(crate) const BUCKET: Field = name("platform.bucket", "Bucket of the object store.");
 
 /// Start of every URL of the platform.
 const SCHEME: &str = "http://";
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -6,7 +6,11 @@
         field::{Field, Kind},
     },
     cowslip_decide::names::Name,
-    std::{collections::BTreeSet, net::SocketAddr, ops::Range},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        ops::Range,
+    },
     toml::{
         Spanned,
         de::{DeTable, DeValue},
@@ -125,6 +129,17 @@
         Ok(names)
     }
 
+    /// Returns the addresses of a table by their names; an absent one counts as empty.
+    pub fn addresses(&self, key: &str, field: &Field) -> Result<BTreeMap<Name, SocketAddr>> {
+        let Some(section) = self.section(key)? else {
+            return Ok(BTreeMap::new());
+        };
+        section
+            .entries()
+            .map(|(name, found)| Ok((name.into(), found.address(field.kind)?)))
+            .collect()
+    }
+
     /// Returns the table under a key; an absent one counts as empty.
     pub fn section(&self, key: &str) -> Result<Option<Self>> {
         self.find(key).map(|found| found.section()).transpose()
@@ -143,7 +158,7 @@
     }
 
     /// Returns every value of this table with its key.
-    pub fn entries(&self) -> impl Iterator<Item = (&str, Found<'a>)> {
+    fn entries(&self) -> impl Iterator<Item = (&str, Found<'a>)> {
         self.table.iter().map(|(key, value)| {
             let key = key.get_ref().as_ref();
             (key, self.found(key, value))
