--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -13,7 +13,7 @@
 pub struct KeyRange {
     /// First hash of the range.
     pub start: u64,
-    /// Target that owns the range.
+    /// Target that owns the range; an empty name if nobody does.
     pub owner: Name,
     /// Target that owns the range, with the next higher fence, once the owner is lost.
     pub standby: Option<Name>,
@@ -125,6 +125,9 @@
 impl KeyRange {
     /// Returns the owner of this range given what was lost, or `None` while it has none.
     pub fn owner_given(&self, losses: &Losses) -> Option<Owner> {
+        if self.owner.is_empty() {
+            return None;
+        }
         if !losses.targets.contains(&self.owner) {
             return Some(Owner {
                 target: self.owner.clone(),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod key;
 pub mod member;
 pub mod names;
+pub mod plan;
 pub mod verdict;
