--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod process;
 mod reader;
 mod section;
+pub mod topology;
