--- a/crates/decide/src/plan/holders.rs
+++ b/crates/decide/src/plan/holders.rs
@@ -168,7 +168,6 @@
         }
         let (holder, standby) = (holder.cloned(), standby.cloned());
         self.discount(unit);
-        // A standby is warm in the sense that the others know it; it is as good as any other.
         unit.holder = holder.or_else(|| self.least());
         unit.standby = standby.filter(|name| Some(name) != unit.holder.as_ref());
         if unit.standby.is_none() {
@@ -177,8 +176,16 @@
         self.count(unit);
     }
 
+    /// Returns whether a recorded standby may stay.
     fn standby(&self, holder: Option<&Name>, name: &Name) -> bool {
-        self.open.contains(name) && holder != Some(name)
+        holder.is_some_and(|holder| self.others(holder).any(|other| other == name))
+    }
+
+    /// Returns the instances that may be standby of `holder`.
+    fn others(&self, holder: &Name) -> impl Iterator<Item = &Name> {
+        let alone = self.open.iter().all(|name| name == holder);
+        let from = if alone { &self.able } else { &self.open };
+        from.iter().filter(move |name| *name != holder)
     }
 
     fn held(&self, name: &Name) -> usize {
@@ -191,8 +198,7 @@
 
     fn best(&self, holder: &Name) -> Option<Name> {
         let centre = |name: &Name| self.input.instances.get(name).map(|i| &i.data_centre);
-        let others = self.open.iter().filter(|name| *name != holder);
-        let best = others.min_by_key(|name| {
+        let best = self.others(holder).min_by_key(|name| {
             let pair = (holder.clone(), (*name).clone());
             let pairs = self.pairs.get(&pair).copied().unwrap_or(0);
             let total = self.totals.get(*name).copied().unwrap_or(0);
