--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod caller;
 pub mod client;
 pub mod clock;
+pub mod measures;
 pub mod platform;
 pub mod target;
--- a/crates/standins/src/target/mod.rs
+++ b/crates/standins/src/target/mod.rs
@@ -45,6 +45,7 @@
     frozen: watch::Sender<bool>,
     /// Counts restarts; connections of an earlier one are dropped.
     run: watch::Sender<u64>,
+    killed: watch::Sender<bool>,
     /// Number of the newest connection.
     newest: AtomicU64,
     open: AtomicUsize,
@@ -65,6 +66,7 @@
         state: Mutex::new(state),
         frozen: watch::Sender::new(false),
         run: watch::Sender::new(0),
+        killed: watch::Sender::new(false),
         newest: AtomicU64::new(0),
         open: AtomicUsize::new(0),
         health: Mutex::new((Instant::now(), health)),
@@ -76,7 +78,14 @@
         control: control.local_addr()?,
         shared: shared.clone(),
     };
-    tokio::spawn(accept(listener, shared.clone()));
+    let mut killed = shared.killed.subscribe();
+    let accepting = accept(listener, shared.clone());
+    tokio::spawn(async move {
+        tokio::select! {
+            () = accepting => {}
+            _ = killed.changed() => {}
+        }
+    });
     tokio::spawn(accept_control(control, shared));
     Ok(target)
 }
@@ -118,6 +127,9 @@
         if let Some(freeze) = faults.freeze {
             self.frozen.send_replace(freeze);
         }
+        if faults.kill {
+            self.killed.send_replace(true);
+        }
         if restart {
             self.frozen.send_replace(false);
             self.run.send_modify(|run| *run += 1);
@@ -137,6 +149,7 @@
     }
 }
 
+/// Accepts connections for requests until the target is killed.
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/crates/standins/src/target/options.rs
+++ b/crates/standins/src/target/options.rs
@@ -84,4 +84,6 @@
     pub restart: bool,
     /// Makes the connections that are open now hang for good.
     pub silence: bool,
+    /// Closes the port and drops connections for good, as the end of the process does.
+    pub kill: bool,
 }
