--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -18,11 +18,11 @@
     /// Target that owns the range, with the next higher fence, once the owner is lost.
     pub standby: Option<Name>,
     /// Fence of the owner; the standby's is one higher.
-    pub fence: Fence,
-    /// Version of the assignment in which the owner, its fence or the bounds last changed.
     ///
-    /// A new owner other than the standby gets a fence at least two higher: the standby may have
-    /// used the next one.
+    /// A changed standby, and a new owner other than the standby, raise it by two, because the
+    /// earlier standby may have used the next one.
+    pub fence: Fence,
+    /// Version of the assignment in which the owner or the bounds last changed.
     pub since: Version,
 }
 
@@ -145,3 +145,19 @@
         })
     }
 }
+
+impl Assignment {
+    /// Returns this assignment as a reset: every range and holding is new, so that nothing that was
+    /// granted before counts, and the instances of `runs` start over.
+    pub fn start_over(mut self, runs: BTreeMap<Name, Incarnation>) -> Self {
+        for range in self.ranges.values_mut().flatten() {
+            range.since = self.version;
+            range.fence = range.fence.next().next();
+        }
+        for holding in self.holdings.values_mut() {
+            holding.since = self.version;
+        }
+        self.reset = runs;
+        self
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod document;
 pub mod error;
 pub mod field;
+pub mod operator;
 pub mod overrides;
 pub mod process;
 mod reader;
 mod section;
+pub mod topology;
