feat(ctl): check, publish, show, withdraw, restore, status and timeline

`timeline` merges the events of all instances by their stamps as text, JSON or SVG; `status` and `timeline` name whom they could not reach and exit 5.

--- a/crates/cowslipctl/src/main.rs
+++ b/crates/cowslipctl/src/main.rs
@@ -1,3 +1,11 @@
-//! Placeholder.
+//! The program of the operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> eyre::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let exit = runtime.block_on(cowslipctl::commands::main(std::env::args_os()))?;
+    Ok(ExitCode::from(exit.code()))
+}
--- /dev/null
+++ b/crates/cowslipctl/src/timeline.rs
@@ -0,0 +1,80 @@
+//! The events of all instances, merged in causal order.
+
+pub mod event;
+pub mod filter;
+pub mod picture;
+
+use {
+    crate::{
+        error::{Error, Result},
+        instances::{self, Answers},
+        reply::Reply,
+        status,
+    },
+    clap::ArgMatches,
+    cowslip_decide::names::Name,
+    cowslip_settings::operator::Operator,
+    event::{Event, Page},
+    filter::Filter,
+    serde_json::json,
+    std::{collections::BTreeMap, fs, path::PathBuf},
+};
+
+/// Shows the merged events.
+pub(crate) async fn show(settings: &Operator, matches: &ArgMatches) -> Result<Reply> {
+    let answers: Answers<Page> = instances::ask(settings, "/events").await;
+    let exit = status::exit(settings, &answers)?;
+    let events = merge(&answers.reached, &Filter::from(matches));
+    let gaps = gaps(&answers.reached);
+    let text = match matches.get_one::<String>("format").map(String::as_str) {
+        Some("svg") => picture::svg(&events).map_err(Error::Refused)?,
+        _ => text(&events, &gaps) + &status::unreachable(&answers.unreachable),
+    };
+    let json = json!({ "events": events, "gaps": gaps, "unreachable": answers.unreachable });
+    let mut reply = Reply { text, json, exit };
+    if matches
+        .get_one::<String>("format")
+        .is_some_and(|format| format == "json")
+    {
+        reply.text = format!("{}\n", reply.json);
+    }
+    let Some(path) = matches.get_one::<PathBuf>("out") else {
+        return Ok(reply);
+    };
+    save(path, &reply.text)?;
+    let said = format!("{} events in {}\n", events.len(), path.display());
+    reply.text = said + &status::unreachable(&answers.unreachable);
+    Ok(reply)
+}
+
+/// Merges pages in causal order; events of one stamp are ordered by process and number.
+pub fn merge(pages: &BTreeMap<Name, Page>, filter: &Filter) -> Vec<Event> {
+    let all = pages.values().flat_map(|page| &page.events);
+    let mut events: Vec<Event> = all.filter(|event| filter.passes(event)).cloned().collect();
+    events.sort_by(|left, right| left.order().cmp(&right.order()));
+    events
+}
+
+/// Returns by instance how many events are no longer to be had.
+fn gaps(pages: &BTreeMap<Name, Page>) -> BTreeMap<Name, u64> {
+    let missing = |page: &Page| page.dropped + page.skipped.values().sum::<u64>();
+    let gaps = pages
+        .iter()
+        .map(|(name, page)| (name.clone(), missing(page)));
+    gaps.filter(|(_, count)| *count > 0).collect()
+}
+
+fn text(events: &[Event], gaps: &BTreeMap<Name, u64>) -> String {
+    let mut text: String = events.iter().map(|event| format!("{event}\n")).collect();
+    for (name, count) in gaps {
+        text += &format!("{name} no longer has {count} events\n");
+    }
+    text
+}
+
+fn save(path: &PathBuf, text: &str) -> Result<()> {
+    fs::write(path, text).map_err(|cause| Error::File {
+        file: path.display().to_string(),
+        cause,
+    })
+}
--- /dev/null
+++ b/crates/cowslipctl/src/timeline/filter.rs
@@ -0,0 +1,55 @@
+//! Which events of a time line are wanted.
+
+use {super::event::Event, clap::ArgMatches, cowslip_decide::names::Name};
+
+/// Conditions that an event must meet; an absent one is met by all.
+#[derive(Clone, Debug, Default)]
+pub struct Filter {
+    /// Key or range.
+    pub key: Option<Name>,
+    /// Target.
+    pub target: Option<Name>,
+    /// Instance that recorded the event or that it is about.
+    pub instance: Option<Name>,
+    /// Request with its attempts, or order.
+    pub request: Option<Name>,
+    /// Data centre of the instance that recorded the event.
+    pub data_centre: Option<Name>,
+}
+
+impl Filter {
+    /// Returns whether an event meets all conditions.
+    pub fn passes(&self, event: &Event) -> bool {
+        let same =
+            |wanted: &Option<Name>, found: &Option<Name>| wanted.is_none() || wanted == found;
+        let instance = self.instance.as_ref();
+        let of = instance
+            .is_none_or(|name| *name == event.process || event.instance.as_ref() == Some(name));
+        let centre = self.data_centre.as_ref();
+        let request = self.request.as_ref();
+        same(&self.key, &event.key)
+            && same(&self.target, &event.target)
+            && of
+            && centre.is_none_or(|name| *name == event.data_centre)
+            && request.is_none_or(|id| event.request.as_ref().is_some_and(|it| part_of(it, id)))
+    }
+}
+
+impl From<&ArgMatches> for Filter {
+    fn from(matches: &ArgMatches) -> Self {
+        let name = |id: &str| matches.get_one::<String>(id).map(|it| it.as_str().into());
+        Self {
+            key: name("key"),
+            target: name("target"),
+            instance: name("instance"),
+            request: name("request"),
+            data_centre: name("data-centre"),
+        }
+    }
+}
+
+/// Returns whether `id` is the request `whole` or one of its attempts, as in `whole.2`.
+fn part_of(id: &str, whole: &str) -> bool {
+    let rest = id.strip_prefix(whole);
+    rest.is_some_and(|rest| !rest.starts_with(|it: char| it.is_ascii_alphanumeric()))
+}
