test(ctl): switch faults during races and cut the platform off after a write

Cause: the races had one set of faults each, and no test reached an outcome that cannot be read back. Change: faults flip while operators race; a platform that takes one write and is gone. Seen failing: an unknown outcome said to be "not sent" (an_outcome_that_cannot_be_read_back_is_said_to_be_unknown), no condition (racing_operators_have_one_winner_and_no_version_reverts).

--- a/crates/cowslipctl/tests/publish.rs
+++ b/crates/cowslipctl/tests/publish.rs
@@ -7,8 +7,18 @@
         error::Error,
         store::{Current, Store},
     },
+    http::{Request, Response},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
     quickcheck::{Arbitrary, Gen},
-    std::time::Duration,
+    std::{
+        future::ready,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{net::TcpListener, task::JoinSet},
 };
 
@@ -128,7 +138,7 @@
     let mut racers = JoinSet::new();
     for name in ["ann", "bob", "cho"] {
         let author = format!("{name}-{round}");
-        let limit = if bool::arbitrary(random) { 2000 } else { 15 };
+        let limit = *random.choose(&[2000, 2000, 40]).expect("one");
         let store = bench.store(&author, limit);
         let pause = Duration::from_millis(u64::arbitrary(random) % 4);
         racers.spawn(async move {
@@ -140,6 +150,20 @@
     racers.join_all().await
 }
 
+/// Switches faults on and off while operators race.
+async fn flip(bench: &Bench, mut random: Gen) {
+    loop {
+        bench.handle.set_faults(Faults {
+            down: u8::arbitrary(&mut random) % 8 == 0,
+            lose_answers: bool::arbitrary(&mut random),
+            slow_ms: *random.choose(&[0, 0, 1, 5, 30]).expect("one"),
+            ..Faults::default()
+        });
+        let pause = Duration::from_millis(1 + u64::arbitrary(&mut random) % 12);
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// Of all operators at most one wins, the losers are told whom they lost to, and whoever read the
 /// row never saw a version go back or change its document.
 async fn run(seed: u64) {
@@ -150,9 +174,11 @@
     // A write whose outcome its operator does not know may take effect in a later round.
     let mut pending = false;
     for round in 0..ROUNDS {
-        let slow = *random.choose(&[0, 0, 5, 30]).expect("one");
-        bench.faults(bool::arbitrary(&mut random), slow);
-        let ends = race(&bench, &mut random, round, version).await;
+        let chaos = Gen::from_size_and_seed(10, seed * ROUNDS + round);
+        let ends = tokio::select! {
+            ends = race(&bench, &mut random, round, version) => ends,
+            _ = flip(&bench, chaos) => unreachable!("it never ends"),
+        };
         bench.faults(false, 0);
         let now = reader.current().await.expect("table");
         let place = format!("seed {seed} round {round}: {now:?} after version {version}, {ends:?}");
@@ -194,6 +220,43 @@
     }
 }
 
+/// A platform that takes one write, answers it never, and is gone from then on.
+async fn dying_platform() -> Platform {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let url = format!("http://{}", listener.local_addr().expect("an address"));
+    let gone = Arc::new(AtomicBool::new(false));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let gone = gone.clone();
+            let answer = service_fn(move |request: Request<Incoming>| {
+                let writes = request
+                    .headers()
+                    .get("x-amz-target")
+                    .is_some_and(|it| it.as_bytes().ends_with(b"TransactWriteItems"));
+                let dead = gone.fetch_or(writes, Ordering::Relaxed) || writes;
+                let answer = Response::new("{}".to_owned());
+                ready((!dead).then_some(answer).ok_or("gone"))
+            });
+            let stream = TokioIo::new(stream);
+            tokio::spawn(http1::Builder::new().serve_connection(stream, answer));
+        }
+    });
+    Platform {
+        table: url.as_str().into(),
+        objects: url.as_str().into(),
+        table_name: "t".into(),
+        bucket: "b".into(),
+    }
+}
+
+#[tokio::test]
+async fn an_outcome_that_cannot_be_read_back_is_said_to_be_unknown() {
+    let platform = dying_platform().await;
+    let store = Store::new(&platform, "ann".into(), Duration::from_secs(5));
+    let end = store.publish(DOCUMENT, "f", 0).await;
+    assert!(matches!(end, Err(Error::Unknown { version: 1 })), "{end:?}");
+}
+
 #[tokio::test]
 async fn racing_operators_have_one_winner_and_no_version_reverts() {
     let seeds = std::env::var("COWSLIP_FUZZ_SEEDS")
