--- a/crates/cowslipcross/src/member/planner.rs
+++ b/crates/cowslipcross/src/member/planner.rs
@@ -237,7 +237,7 @@
         let Some(config) = self.context.config.load_full() else {
             return;
         };
-        let topology = topology::of(&config.document, config.version);
+        let topology = topology::topology(&config.document, config.version);
         let known = self.known(now);
         let input = known.input(&topology, epoch, now);
         let replaces = Some(known.current.version).filter(|version| *version > Version(0));
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod key;
 pub mod member;
 pub mod names;
+pub mod order;
 pub mod plan;
 pub mod verdict;
