fix(member): pass on the holdings of a cut-off instance, keep promises of who rejoins

Change: no acknowledgement for a sender that has had no lease for a promise; new time only for those whose doubt a version ends; sync waits for promises to doubted instances; the heartbeat also tells below which version nobody sends any more (quiet), which is enough for holdings. In the tests: a cut keeps since and a merge takes the later one (renewing since under the same fence gave an owner a lower fence than its standby had used; KeyRange says so now); reports pass through the queue, because nested steps were applied out of order.

--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -19,10 +19,12 @@
     pub standby: Option<Name>,
     /// Fence of the owner; the standby's is one higher.
     ///
-    /// A changed standby, and a new owner other than the standby, raise it by two, because the
-    /// earlier standby may have used the next one.
+    /// Whatever renews `since`, and a changed standby, raises it by two, because the standby may
+    /// have used the next one; a standby that takes over for good keeps the one it has used.
     pub fence: Fence,
-    /// Version of the assignment in which the owner or the bounds last changed.
+    /// Version of the assignment in which the range last passed to its owner.
+    ///
+    /// A range that is cut in two keeps it; two that are alike and merged take the later one.
     pub since: Version,
 }
 
--- a/crates/decide/src/member/adopt.rs
+++ b/crates/decide/src/member/adopt.rs
@@ -4,7 +4,7 @@
     super::{Member, carry, force::Carried, peer::Peer},
     crate::{
         assign::Assignment,
-        names::{Incarnation, Version},
+        names::{Incarnation, Name, Version},
     },
     std::{collections::BTreeSet, sync::Arc},
     tokio::time::Instant,
@@ -15,11 +15,12 @@
     pub(super) fn move_on(&mut self, now: Instant, next: Arc<Assignment>) {
         let from = self.version();
         let was_member = self.is_member();
+        let before = self.doubts.clone();
         self.keep_losses(&next, from);
         self.carried = self.carry_on(now, &next);
         self.proposed.clear();
         self.withheld.clear();
-        self.welcome(now, &next);
+        self.welcome(now, &next, &before);
         // Who joins has no part in what the members agreed on before.
         self.synced &= was_member && next.members.contains(&self.me);
         for (name, incarnation) in &next.reset {
@@ -43,17 +44,17 @@
         }
     }
 
-    /// Begins to watch new members, and those anew that are there without a lease.
-    fn welcome(&mut self, now: Instant, next: &Assignment) {
-        let others: BTreeSet<_> = next
-            .members
-            .iter()
-            .filter(|name| **name != self.me)
-            .collect();
-        for name in others {
+    /// Begins to watch new members, and those anew that were doubted until now and are there.
+    ///
+    /// Others get no new time: a flow of versions must not put off the loss of one that is cut off.
+    fn welcome(&mut self, now: Instant, next: &Assignment, doubted: &BTreeSet<Name>) {
+        let members = self.members();
+        for name in next.members.iter().filter(|name| **name != self.me) {
             let new = || Peer::new(Incarnation::default(), now);
             let peer = self.peers.entry(name.clone()).or_insert_with(new);
-            if peer.recent(now, self.timing.promise()) {
+            let back = doubted.contains(name) && !self.doubts.contains(name);
+            let there = peer.recent(now, self.timing.promise());
+            if there && (back || !members.contains(name)) {
                 peer.leased = now;
             }
         }
--- a/crates/decide/src/member/beat.rs
+++ b/crates/decide/src/member/beat.rs
@@ -37,7 +37,7 @@
 struct Mark {
     version: Version,
     settled: Option<(Version, usize)>,
-    floor: Version,
+    floors: [Version; 2],
     counts: [usize; 5],
     flags: [bool; 2],
 }
@@ -83,7 +83,7 @@
         Mark {
             version: self.version(),
             settled: settled.map(|settled| (settled.version, settled.targets.len())),
-            floor: self.facts.floor,
+            floors: [self.facts.floor, self.facts.quiet],
             counts: [
                 self.losses.targets.len(),
                 self.losses.instances.len(),
@@ -106,6 +106,7 @@
             synced: self.synced,
             leased: self.has_lease(now),
             floor: self.facts.floor,
+            quiet: self.facts.quiet,
             losses: self.losses.clone(),
             doubts: self.doubts.clone(),
             silent: self.silent(now),
@@ -149,8 +150,11 @@
         }
         self.fetch(now, &beat);
         self.learn(now, &beat);
+        self.watch(now, &beat);
         self.acknowledge(now, &beat);
-        self.remember(now, beat);
+        if let Some(peer) = self.peers.get_mut(&beat.from) {
+            peer.beat = Some(beat);
+        }
     }
 
     /// Notes that a run of an instance is known.
@@ -177,29 +181,38 @@
         peer.incarnation == beat.incarnation && newest < beat.seq
     }
 
-    fn remember(&mut self, now: Instant, beat: Heartbeat) {
+    /// Notes when a peer was heard, and had a lease.
+    fn watch(&mut self, now: Instant, beat: &Heartbeat) {
         let Some(peer) = self.peers.get_mut(&beat.from) else {
             return;
         };
         peer.heard = Some(now);
-        if beat.leased {
+        let joins = beat.synced && peer.synced().is_none();
+        if beat.leased || joins {
             peer.leased = now;
         }
         if let Some(loads) = &beat.loads {
             peer.loads.clone_from(loads);
         }
-        peer.beat = Some(beat);
     }
 
     /// Acknowledges a heartbeat unless its sender is doubted, unsynced or behind.
+    ///
+    /// A sender that gets no lease for long is no longer acknowledged, because it may hear
+    /// nothing: its holdings must pass on.
     fn acknowledge(&mut self, now: Instant, beat: &Heartbeat) {
         let able = self.synced && !self.superseded && beat.synced;
         if !able || beat.version < self.version() || self.doubts.contains(&beat.from) {
             return;
         }
-        if let Some(peer) = self.peers.get_mut(&beat.from) {
-            peer.promise = now + self.timing.promise();
+        let promise = self.timing.promise();
+        let Some(peer) = self.peers.get_mut(&beat.from) else {
+            return;
+        };
+        if !beat.leased && peer.leased + promise <= now {
+            return;
         }
+        peer.promise = now + promise;
         let ack = Ack {
             from: self.me.clone(),
             incarnation: self.incarnation,
--- a/crates/decide/src/member/facts.rs
+++ b/crates/decide/src/member/facts.rs
@@ -17,12 +17,16 @@
 pub(super) struct Facts {
     /// What each member has settled in its newest run.
     reports: BTreeMap<Name, Settled>,
-    /// Version below which an instance has sent and granted its last.
+    /// Version below which an instance has sent its last.
+    halted: BTreeMap<Name, Version>,
+    /// Version below which an instance has sent its last, and no grant of it is left.
     closed: BTreeMap<Name, Version>,
     /// The same from a moment on, when the grants of a lost instance have run out.
     closing: BTreeMap<Name, Vec<(Instant, Version)>>,
     /// Version below which no instance sends or has granted anything any more.
     pub(super) floor: Version,
+    /// Version below which no instance sends any more; grants may be left.
+    pub(super) quiet: Version,
     /// Lost targets whose loss is settled everywhere.
     pub(super) ready: BTreeSet<Name>,
 }
@@ -50,6 +54,8 @@
 
     /// Notes that `name` sends nothing below `version` any more and its last grants end by `due`.
     pub(super) fn close(&mut self, name: &Name, version: Version, due: Instant) {
+        let halted = self.halted.entry(name.clone()).or_default();
+        *halted = version.max(*halted);
         let closing = self.closing.entry(name.clone()).or_default();
         closing.push((due, version));
     }
@@ -67,8 +73,10 @@
 
     /// Extends the closing of an instance that is still lost at a later version.
     fn raise(&mut self, name: &Name, from: Version, to: Version) {
-        if let Some(version) = self.closed.get_mut(name).filter(|v| **v == from) {
-            *version = to;
+        for known in [&mut self.halted, &mut self.closed] {
+            if let Some(version) = known.get_mut(name).filter(|v| **v == from) {
+                *version = to;
+            }
         }
         let closing = self.closing.get_mut(name).into_iter().flatten();
         for (_, version) in closing.filter(|(_, v)| *v == from) {
@@ -80,11 +88,14 @@
     pub(super) fn draw(&mut self, now: Instant, assignment: &Assignment, lost: &BTreeSet<Name>) {
         self.expire(now);
         let version = assignment.version;
-        if self.floor < version
-            && self.everyone(assignment, |facts, name| facts.left(name, version))
-        {
+        let closed = |facts: &Self, name: &Name| facts.left(&facts.closed, name, version);
+        if self.floor < version && self.everyone(assignment, closed) {
             self.floor = version;
         }
+        let halted = |facts: &Self, name: &Name| facts.left(&facts.halted, name, version);
+        if self.quiet < version && self.everyone(assignment, halted) {
+            self.quiet = version;
+        }
         for target in lost.difference(&self.ready.clone()) {
             let settled = |facts: &Self, name: &Name| facts.gave_up(name, target, version);
             if self.everyone(assignment, settled) {
@@ -117,13 +128,13 @@
         reported >= super::majority(assignment.members.len())
     }
 
-    /// Returns whether `name` has left all versions below `version`.
-    fn left(&self, name: &Name, version: Version) -> Done {
+    /// Returns whether `name` has left all versions below `version`, if lost according to `lost`.
+    fn left(&self, lost: &BTreeMap<Name, Version>, name: &Name, version: Version) -> Done {
         let report = self.reports.get(name);
         if report.is_some_and(|report| report.version >= version) {
             return Done::Reported;
         }
-        self.closed_at(name, version)
+        closed_at(lost, name, version)
     }
 
     /// Returns whether `name` has given up `target`, lost at `version`.
@@ -132,23 +143,23 @@
         if report.is_some_and(|report| report.targets.contains(target)) {
             return Done::Reported;
         }
-        self.closed_at(name, version.next())
-    }
-
-    fn closed_at(&self, name: &Name, version: Version) -> Done {
-        match self.closed.get(name) {
-            Some(closed) if *closed >= version => Done::Closed,
-            _ => Done::No,
-        }
+        closed_at(&self.closed, name, version.next())
     }
 
     /// Returns the members that have left all versions below `version`.
     pub(super) fn settled_by(&self, assignment: &Assignment, version: Version) -> BTreeSet<Name> {
-        let left = |name: &&Name| !matches!(self.left(name, version), Done::No);
+        let left = |name: &&Name| !matches!(self.left(&self.closed, name, version), Done::No);
         assignment.members.iter().filter(left).cloned().collect()
     }
 }
 
+fn closed_at(lost: &BTreeMap<Name, Version>, name: &Name, version: Version) -> Done {
+    match lost.get(name) {
+        Some(closed) if *closed >= version => Done::Closed,
+        _ => Done::No,
+    }
+}
+
 /// How it is known that a member no longer does something.
 enum Done {
     /// The member said so.
--- a/crates/decide/src/member/force.rs
+++ b/crates/decide/src/member/force.rs
@@ -18,6 +18,8 @@
     pub(super) losses: &'a Losses,
     /// Version below which nothing is sent or granted any more.
     pub(super) floor: Version,
+    /// Version below which nothing is sent any more.
+    pub(super) quiet: Version,
     /// Lost targets whose loss every member has settled.
     pub(super) ready: &'a BTreeSet<Name>,
     pub(super) carried: &'a Carried,
@@ -56,7 +58,7 @@
             self.assignment.version
         };
         let carried = self.carried.holders.get(target) == Some(holder);
-        (carried || since <= self.floor).then_some(holder)
+        (carried || since <= self.quiet).then_some(holder)
     }
 }
 
--- a/crates/decide/src/member/inform.rs
+++ b/crates/decide/src/member/inform.rs
@@ -16,7 +16,7 @@
 /// All that decides what is in force; within one version its sets only grow.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Cause {
-    versions: [Version; 2],
+    versions: [Version; 3],
     counts: [usize; 3],
     carries: bool,
     able: bool,
@@ -34,6 +34,7 @@
             assignment,
             losses: &self.losses,
             floor: self.facts.floor,
+            quiet: self.facts.quiet,
             ready: &self.facts.ready,
             carried: &self.carried,
         };
@@ -47,7 +48,7 @@
 
     fn cause(&self, assignment: &Assignment) -> Cause {
         Cause {
-            versions: [assignment.version, self.facts.floor],
+            versions: [assignment.version, self.facts.floor, self.facts.quiet],
             counts: [
                 self.losses.targets.len(),
                 self.losses.instances.len(),
--- a/crates/decide/src/member/loss.rs
+++ b/crates/decide/src/member/loss.rs
@@ -112,6 +112,7 @@
             return;
         };
         self.facts.floor = self.facts.floor.max(beat.floor);
+        self.facts.quiet = self.facts.quiet.max(beat.quiet);
         if let Some(settled) = &beat.settled {
             self.facts.report(&assignment, &beat.from, settled);
         }
--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -28,6 +28,8 @@
     pub leased: bool,
     /// Version below which no instance sends or has granted anything any more.
     pub floor: Version,
+    /// Version below which no instance sends any more; grants may be left.
+    pub quiet: Version,
     /// What the sender knows to be lost at its version.
     pub losses: Losses,
     /// Instances that the sender does not acknowledge again at its version.
--- a/crates/decide/src/member/query.rs
+++ b/crates/decide/src/member/query.rs
@@ -55,14 +55,14 @@
 
     /// Returns the instances that were heard lately and are not lost, this one included.
     ///
-    /// Members that are not synced yet are left out: they can hold nothing.
+    /// Members without a lease are left out: they can hold nothing.
     pub fn alive(&self, now: Instant) -> BTreeSet<Name> {
         let members = self.members();
         let known = self.peers.keys().chain([&self.me]);
         let alive = known.filter(|name| {
             self.is_there(now, name)
                 && !self.losses.instances.contains(*name)
-                && (self.is_synced(name) || !members.contains(*name))
+                && (self.is_leased(now, name) || !members.contains(*name))
         });
         alive.cloned().collect()
     }
@@ -135,6 +135,14 @@
         *name == self.me || self.peers.get(name).is_some_and(recent)
     }
 
+    fn is_leased(&self, now: Instant, name: &Name) -> bool {
+        if *name == self.me {
+            return self.has_lease(now);
+        }
+        let beat = self.peers.get(name).and_then(|peer| peer.synced());
+        beat.is_some_and(|beat| beat.leased)
+    }
+
     pub(super) fn is_synced(&self, name: &Name) -> bool {
         if *name == self.me {
             return self.synced;
--- a/crates/decide/src/member/sync.rs
+++ b/crates/decide/src/member/sync.rs
@@ -14,7 +14,7 @@
         }
         if !self.was_reset() {
             let beats = self.answers();
-            if beats.len() < self.quorum() {
+            if beats.len() < self.quorum() || self.is_bound(now, &beats) {
                 return;
             }
             self.inherit(now, &beats);
@@ -43,6 +43,14 @@
         answers.cloned().collect()
     }
 
+    /// Returns whether a promise is left to an instance that would be doubted from now on.
+    ///
+    /// A member that left and comes back may have acknowledged it shortly before.
+    fn is_bound(&self, now: Instant, beats: &[Heartbeat]) -> bool {
+        let mut doubted = beats.iter().flat_map(|beat| &beat.doubts);
+        doubted.any(|name| self.peers.get(name).is_some_and(|peer| now < peer.promise))
+    }
+
     /// Returns how many other members meet every majority that an earlier run was part of.
     fn quorum(&self) -> usize {
         self.size() - majority(self.size()) + 1
--- a/crates/decide/tests/world/mod.rs
+++ b/crates/decide/tests/world/mod.rs
@@ -84,16 +84,44 @@
 }
 
 pub enum Event {
-    Tick { node: usize, run: u64 },
-    Renew { node: usize, run: u64 },
-    Node { to: usize, msg: Msg },
-    Target { to: Name, post: Post },
-    Poll { node: usize, run: u64 },
+    Tick {
+        node: usize,
+        run: u64,
+    },
+    Renew {
+        node: usize,
+        run: u64,
+    },
+    Node {
+        to: usize,
+        msg: Msg,
+    },
+    Report {
+        node: usize,
+        run: u64,
+        report: HoldReport,
+    },
+    Target {
+        to: Name,
+        post: Post,
+    },
+    Poll {
+        node: usize,
+        run: u64,
+    },
     Plan,
-    Write { row: Assignment },
-    Start { node: usize },
-    Thaw { node: usize },
-    ThawTarget { name: Name },
+    Write {
+        row: Assignment,
+    },
+    Start {
+        node: usize,
+    },
+    Thaw {
+        node: usize,
+    },
+    ThawTarget {
+        name: Name,
+    },
 }
 
 pub struct Node {
@@ -239,7 +267,11 @@
                 self.push(POLL, Event::Poll { node, run });
                 self.read_table(node);
             }
+            Event::Report { node, run, report } if self.nodes[node].run == run => {
+                self.drive(node, |member, now| member.report(now, report));
+            }
             Event::Tick { .. } | Event::Renew { .. } | Event::Poll { .. } => {}
+            Event::Report { .. } => {}
             Event::Node { to, msg } => self.receive(to, msg),
             Event::Target { to, post } => self.post(&to, post),
             Event::Plan => self.plan(),
@@ -303,8 +335,10 @@
         }
     }
 
+    /// Passes a report of the holding thread on, after the steps that it takes now.
     pub fn report(&mut self, node: usize, report: HoldReport) {
-        self.drive(node, |member, now| member.report(now, report));
+        let run = self.nodes[node].run;
+        self.push(0, Event::Report { node, run, report });
     }
 
     fn send(&mut self, from: usize, to: &str, msg: Msg) {
@@ -411,6 +445,7 @@
             Some(*node)
         }
         Event::Node { to, .. } => Some(*to),
+        Event::Report { node, .. } => Some(*node),
         _ => None,
     }
 }
--- a/crates/decide/tests/world/planner.rs
+++ b/crates/decide/tests/world/planner.rs
@@ -195,7 +195,6 @@
                 ranges[i].since = version;
             }
             1 if ranges.len() < 10 => {
-                ranges[i].since = version;
                 let mut half = ranges[i].clone();
                 half.start += 1 + self.dice.below(u64::MAX / 100);
                 if ranges
@@ -207,10 +206,14 @@
             }
             2 if i + 1 < ranges.len() => {
                 let gone = ranges.remove(i + 1);
-                if gone.owner != ranges[i].owner || gone.fence != ranges[i].fence {
+                let key =
+                    |range: &KeyRange| (range.owner.clone(), range.standby.clone(), range.fence);
+                if key(&gone) == key(&ranges[i]) {
+                    ranges[i].since = ranges[i].since.max(gone.since);
+                } else {
                     ranges[i].fence = Fence(gone.fence.max(ranges[i].fence).0 + 2);
+                    ranges[i].since = version;
                 }
-                ranges[i].since = version;
             }
             3 => {
                 ranges[i].standby = self.dice.pick(self.targets.clone());
