fix(planner): take instances back when all are lost

Cause: a trial with 12 instances on a machine with four times more work than cores made every instance lose every other. Who is lost gets no lease, the planner needed one, and so nobody ever recorded the version that takes them back: all requests were refused for good. Ruled out: too few votes (144 losses were agreed), the table (up). Change: a candidate needs a majority that it hears, not a lease (the epoch keeps planners apart); while no instance is left, those that returned get a renewed holding, which ends their loss. Rates are forgotten after a move, which had let the balance move ranges with each plan (88 versions in 20 s).

--- a/crates/cowslipcross/src/member/known.rs
+++ b/crates/cowslipcross/src/member/known.rs
@@ -22,6 +22,8 @@
     pub(super) loads: BTreeMap<Name, Load>,
     pub(super) rates: BTreeMap<Name, f64>,
     pub(super) leaving: BTreeSet<Name>,
+    /// Lost instances that are taken back because no other is left.
+    pub(super) returning: BTreeSet<Name>,
     pub(super) settled: bool,
     /// Runs of the instances, if a reset is needed.
     pub(super) reset: Option<BTreeMap<Name, Incarnation>>,
@@ -51,14 +53,27 @@
         }
     }
 
+    /// Returns whether a version has to be recorded even if nothing else changes.
+    pub(super) fn renews(&self) -> bool {
+        self.reset.is_some() || !self.returning.is_empty()
+    }
+
     /// Returns the assignment to record: a reset if one is needed.
     pub(super) fn finish(&self, next: Assignment) -> Assignment {
-        match &self.reset {
-            Some(runs) => next.start_over(runs.clone()),
-            None => Assignment {
-                reset: BTreeMap::new(),
-                ..next
-            },
+        if let Some(runs) = &self.reset {
+            return next.start_over(runs.clone());
+        }
+        let mut next = Assignment {
+            reset: BTreeMap::new(),
+            ..next
+        };
+        let version = next.version;
+        for holding in next.holdings.values_mut() {
+            // A renewed holding ends the loss of its holder.
+            if self.returning.contains(&holding.holder) {
+                holding.since = version;
+            }
         }
+        next
     }
 }
--- a/crates/cowslipcross/src/member/planner.rs
+++ b/crates/cowslipcross/src/member/planner.rs
@@ -140,6 +140,14 @@
             }
             Outcome::Read(found) => self.read_assignment(found, now),
             Outcome::Recorded(assignment) => {
+                // What a target served before a move says nothing of its share afterwards.
+                if self
+                    .member
+                    .assignment()
+                    .is_none_or(|it| it.ranges != assignment.ranges)
+                {
+                    self.planner.rates.forget();
+                }
                 let about = About {
                     detail: Some(format!("version {}", assignment.version)),
                     ..About::default()
@@ -173,8 +181,11 @@
         now: Instant,
         step: impl FnOnce(&mut Elect, Standing) -> elect::Step,
     ) -> elect::Step {
-        // Before the first assignment, and while a reset is needed, nobody can have a lease.
-        let leased = self.member.has_lease(now) || self.member.reset_needed(now);
+        // While all are lost, or a reset is needed, nobody can have a lease; the epoch keeps
+        // planners apart.
+        let leased = self.member.has_lease(now)
+            || self.member.sees_majority()
+            || self.member.reset_needed(now);
         let standing = Standing {
             leased,
             lost: &self.member.lost().instances,
@@ -243,7 +254,7 @@
         let replaces = Some(known.current.version).filter(|version| *version > Version(0));
         match plan::next(&input) {
             PlanStep::Record(next) => self.record(epoch, replaces, known.finish(next)),
-            _ if known.reset.is_some() => {
+            _ if known.renews() => {
                 let next = Assignment {
                     version: known.current.version.next(),
                     epoch,
@@ -262,7 +273,13 @@
 
     /// Gathers what the planner knows.
     fn known(&mut self, now: Instant) -> Known {
-        let losses = self.member.lost().clone();
+        let mut losses = self.member.lost().clone();
+        let mut returning = BTreeSet::new();
+        if self.member.alive(now).is_empty() {
+            // Nobody can hold anything at this version: those that are there start anew.
+            returning = self.member.returning(now);
+            losses.instances.retain(|name| !returning.contains(name));
+        }
         let version = self.member.version();
         let lost = losses != Losses::default();
         let since = match self.planner.lost_since {
@@ -289,6 +306,7 @@
             loads,
             rates: self.planner.rates.known(now),
             leaving: self.leaving(),
+            returning,
             settled: self.member.floor() >= version,
             reset: self
                 .member
