feat(instance): hand targets over before a stop, tell when the platform answers again

A stopping instance says so in its heartbeats, goes on serving with 'connection: close' until the planner has given its targets to others, then stops sending and waits for the ends of its peers' attempts to leave.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -14,7 +14,10 @@
         names::{Incarnation, Name},
     },
     cowslip_settings::process::Process,
-    std::sync::{Arc, atomic::AtomicBool},
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize},
+    },
     tokio::sync::watch,
 };
 
@@ -41,8 +44,10 @@
     pub lease: ArcSwap<LeaseEnd>,
     /// State that the operators' port shows.
     pub status: Arc<ArcSwap<Status>>,
-    /// Whether the instance is stopping.
+    /// Whether the instance is about to stop: its targets pass to other holders.
     pub stopping: AtomicBool,
+    /// Attempts of peers that have not had their end.
+    pub forwarded: AtomicUsize,
 }
 
 impl Context {
@@ -60,6 +65,7 @@
             lease: ArcSwap::from_pointee(None),
             status: Arc::default(),
             stopping: AtomicBool::new(false),
+            forwarded: AtomicUsize::new(0),
         }
     }
 
--- a/crates/cowslipcross/src/entry/handler.rs
+++ b/crates/cowslipcross/src/entry/handler.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         config::Config,
+        events::{self, About},
         ring::Offer,
         route::job::{Job, JobTicket},
         work::Outcome,
@@ -87,13 +88,26 @@
     let outcome = match admit(entry) {
         Err(outcome) => outcome,
         Ok(config) => match job(entry, &config, request.clone(), arrived, state).await {
-            Err(bad) => answer::bad(&bad),
+            Err(bad) => refuse(entry, &request, &bad),
             Ok(job) => run(entry, job, arrived).await,
         },
     };
     answer::response(&entry.context, &request, outcome)
 }
 
+/// Counts and answers a request that is not valid.
+fn refuse(entry: &Entry, request: &Name, bad: &BadRequest) -> Outcome {
+    let context = &entry.context;
+    context.metrics.bad_request(bad.status().as_u16());
+    let about = About {
+        request: Some(request.clone()),
+        detail: Some(bad.to_string()),
+        ..About::default()
+    };
+    context.events.note(events::BAD_REQUEST, about);
+    answer::bad(bad)
+}
+
 /// Returns an id that no other instance or run gives out.
 fn next_id(entry: &Entry) -> Name {
     let count = entry.count.fetch_add(1, Ordering::Relaxed);
@@ -104,9 +118,6 @@
 /// Refuses what cannot be taken on now.
 fn admit(entry: &Entry) -> std::result::Result<Arc<Config>, Outcome> {
     let context = &entry.context;
-    if context.stopping.load(Ordering::Relaxed) {
-        return Err(answer::refusal(Reason::Stopping, Duration::ZERO));
-    }
     if entry.active.load(Ordering::Relaxed) > context.settings.limits.in_progress as usize {
         return Err(answer::refusal(Reason::Overload, answer::BUSY_WAIT));
     }
--- a/crates/cowslipcross/src/instance.rs
+++ b/crates/cowslipcross/src/instance.rs
@@ -22,7 +22,7 @@
     tokio::{
         net::{TcpListener, TcpSocket},
         sync::watch,
-        time::timeout,
+        time::{Instant, timeout},
     },
 };
 
@@ -31,8 +31,12 @@
 
 /// Connections that the system keeps until they are accepted.
 const BACKLOG: u32 = 1024;
-/// Period in which a stop looks whether a thread has ended.
-const JOIN_CHECK: Duration = Duration::from_millis(5);
+/// Period in which a stop looks whether something has ended.
+const STOP_CHECK: Duration = Duration::from_millis(5);
+/// Longest wait for the planner to hand the targets of a stopping instance over.
+const HAND_OVER: Duration = Duration::from_secs(2);
+/// Time for the last bytes to leave the process.
+const FLUSH: Duration = Duration::from_millis(100);
 
 /// Threads and switches of the running duties.
 struct Running {
@@ -167,9 +171,11 @@
     let stopping = async {
         running.stop_entry.send_replace(true);
         joined(running.entry).await?;
+        hand_over(&context).await;
         // The member duty goes on: the lease must last until the targets have answered peers.
         running.hold.commands.send(HoldCommand::Stop).await?;
         joined(running.hold.thread).await?;
+        answered(&context).await;
         running.stop_rest.send_replace(true);
         joined(running.member).await
     };
@@ -185,11 +191,37 @@
     }
 }
 
+/// Waits until the planner has given this instance's targets to other holders, but not for long:
+/// without a planner they pass to the standbys once this instance's lease has run out.
+async fn hand_over(context: &Context) {
+    let end = Instant::now() + HAND_OVER;
+    while holds(context) && Instant::now() < end {
+        tokio::time::sleep(STOP_CHECK).await;
+    }
+}
+
+/// Returns whether this instance is the holder of a target by the assignment.
+fn holds(context: &Context) -> bool {
+    let view = context.view.load();
+    let holdings = view.as_ref().map(|view| &view.assignment.holdings);
+    let mut holdings = holdings.into_iter().flat_map(|holdings| holdings.values());
+    holdings.any(|holding| holding.holder == context.name)
+}
+
+/// Waits until the peers have the ends of their attempts.
+async fn answered(context: &Context) {
+    while context.forwarded.load(Ordering::Relaxed) > 0 {
+        tokio::time::sleep(STOP_CHECK).await;
+    }
+    // The last ends are still on their way through the sockets.
+    tokio::time::sleep(FLUSH).await;
+}
+
 /// Waits for a thread without blocking the runtime.
 async fn joined(thread: JoinHandle<()>) -> Result<()> {
     let name = thread.thread().name().unwrap_or("duty").to_owned();
     while !thread.is_finished() {
-        tokio::time::sleep(JOIN_CHECK).await;
+        tokio::time::sleep(STOP_CHECK).await;
     }
     thread.join().map_err(|_| eyre!("thread {name:?} panicked"))
 }
--- a/crates/cowslipcross/src/member/beats.rs
+++ b/crates/cowslipcross/src/member/beats.rs
@@ -77,6 +77,8 @@
         };
         let mut message = peer::Heartbeat::from(beat);
         message.clock = clock::stamp(&self.context.events);
+        message.data_centre = self.context.settings.data_centre.to_string();
+        message.leaving = self.context.stopping.load(Ordering::Relaxed);
         let Ok(request) = self.access.sign(message) else {
             return;
         };
--- a/crates/cowslipcross/src/member/driver.rs
+++ b/crates/cowslipcross/src/member/driver.rs
@@ -11,6 +11,7 @@
         duty::{HoldReport, Load},
         member::{Member, Step, Timing},
         names::{Name, Version},
+        plan::Instance,
     },
     cowslip_wire::peer,
     std::{
@@ -33,6 +34,8 @@
     pub(super) unsent: Unsent,
     /// Whether a call for the assignment is under way.
     pub(super) fetching: bool,
+    /// What the other instances say of themselves.
+    pub(super) neighbours: BTreeMap<Name, Instance>,
     /// State of the targets that this instance holds.
     pub(super) own_loads: BTreeMap<Name, Load>,
     /// When the status was published last.
@@ -76,6 +79,7 @@
             member,
             unsent: Unsent::default(),
             fetching: false,
+            neighbours: BTreeMap::new(),
             own_loads: BTreeMap::new(),
             published: now,
             timing,
@@ -128,6 +132,11 @@
         reply: oneshot::Sender<Option<peer::Ack>>,
         now: Instant,
     ) {
+        let neighbour = Instance {
+            data_centre: beat.data_centre.as_str().into(),
+            leaving: beat.leaving,
+        };
+        self.neighbours.insert(beat.from.as_str().into(), neighbour);
         let mut ack = None;
         let mut rest = Vec::new();
         for step in self.member.hear(now, beat.into()) {
--- a/crates/cowslipcross/src/member/planner.rs
+++ b/crates/cowslipcross/src/member/planner.rs
@@ -29,7 +29,7 @@
     cowslip_settings::topology,
     std::{
         collections::{BTreeMap, BTreeSet},
-        sync::Arc,
+        sync::{Arc, atomic::Ordering},
         time::Duration,
     },
     tokio::time::Instant,
@@ -315,26 +315,27 @@
         }
     }
 
-    /// Returns the instances that were heard lately, with what the platform's list says of them.
+    /// Returns the instances that were heard lately, with what they say of themselves.
     fn instances(&self, now: Instant) -> BTreeMap<Name, Instance> {
         let runs = self.member.incarnations(now);
-        let listed = |name: &Name| {
-            let mut entries = self.planner.list.iter();
-            entries.find(|entry| entry.kind == Kind::Instance && entry.name == *name)
-        };
-        let instance = |name: &Name| {
-            let entry = listed(name);
-            let own = &self.context.settings.data_centre;
-            Instance {
-                data_centre: entry.map_or_else(|| own.clone(), |entry| entry.data_centre.clone()),
-                leaving: entry.is_some_and(|entry| entry.state == State::Leaving),
-            }
-        };
         runs.keys()
-            .map(|name| (name.clone(), instance(name)))
+            .map(|name| (name.clone(), self.instance(name)))
             .collect()
     }
 
+    fn instance(&self, name: &Name) -> Instance {
+        let own = || Instance {
+            data_centre: self.context.settings.data_centre.clone(),
+            leaving: self.context.stopping.load(Ordering::Relaxed),
+        };
+        let mut instance = self.neighbours.get(name).cloned().unwrap_or_else(own);
+        let mut listed = self.planner.list.iter();
+        instance.leaving |= listed.any(|entry| {
+            entry.kind == Kind::Instance && entry.name == *name && entry.state == State::Leaving
+        });
+        instance
+    }
+
     /// Returns the targets that leave, by the platform's list or by their own word.
     fn leaving(&self) -> BTreeSet<Name> {
         let listed = self
@@ -369,9 +370,9 @@
 
     fn listed(&mut self, list: Option<Vec<Entry>>) {
         self.planner.list_busy = false;
-        match list {
-            Some(list) => self.planner.list = list,
-            None => self.note(events::LIST_DOWN, "no answer".to_owned()),
+        // Without an answer the last list stays in use.
+        if let Some(list) = list {
+            self.planner.list = list;
         }
     }
 
--- a/crates/cowslipcross/src/peer/server.rs
+++ b/crates/cowslipcross/src/peer/server.rs
@@ -22,7 +22,7 @@
         collections::BTreeMap,
         pin::Pin,
         result,
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     },
     tokio::{
         sync::{mpsc, oneshot},
@@ -163,7 +163,9 @@
     waiting.lock().insert(number, cancel);
     let end = hand_over(server, attempt);
     let (context, waiting, ends) = (server.context.clone(), waiting.clone(), ends.clone());
+    let forwarded = Forwarded::enter(context.clone());
     tokio::spawn(async move {
+        let _forwarded = forwarded;
         let outcome = tokio::select! {
             outcome = end.wait() => outcome,
             _ = canceled => return,
@@ -178,6 +180,22 @@
     });
 }
 
+/// Counts an attempt of a peer until its end is on its way back.
+struct Forwarded(Arc<Context>);
+
+impl Forwarded {
+    fn enter(context: Arc<Context>) -> Self {
+        context.forwarded.fetch_add(1, Ordering::Relaxed);
+        Self(context)
+    }
+}
+
+impl Drop for Forwarded {
+    fn drop(&mut self) {
+        self.0.forwarded.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// End of an attempt, now or later.
 enum End {
     Now(Outcome),
--- a/crates/cowslipcross/src/store/batch.rs
+++ b/crates/cowslipcross/src/store/batch.rs
@@ -1,15 +1,13 @@
 //! Group commit: many small writes of the journal in few transactions of the table.
 
 use {
+    super::Clients,
     crate::{
         context::Context,
         ring::{Offer, Ring, ring},
     },
     cowslip_decide::order::Journalled,
-    cowslip_platform::{
-        Error, Result,
-        table::{Table, Write},
-    },
+    cowslip_platform::{Error, Result, table::Write},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::{
         sync::{Semaphore, mpsc, oneshot},
@@ -38,9 +36,9 @@
 
 impl Batches {
     /// Starts the group commit on the runtime of the caller.
-    pub fn start(context: Arc<Context>, table: Table) -> Self {
+    pub fn start(context: Arc<Context>, clients: Clients) -> Self {
         let (items, taken) = ring(context.settings.limits.platform_ring as usize);
-        tokio::spawn(gather(table, taken));
+        tokio::spawn(gather(context, clients, taken));
         Self(items)
     }
 
@@ -55,7 +53,7 @@
 }
 
 /// Writes groups for ever; a group is what came in since the last one started.
-async fn gather(table: Table, mut items: mpsc::Receiver<Item>) {
+async fn gather(context: Arc<Context>, clients: Clients, mut items: mpsc::Receiver<Item>) {
     let room = Arc::new(Semaphore::new(UNDER_WAY));
     let mut next = Instant::now();
     let mut group = Vec::new();
@@ -69,20 +67,21 @@
             group.push(item);
         }
         next = Instant::now() + PACE;
-        let (table, full) = (table.clone(), std::mem::take(&mut group));
+        let (context, clients, full) =
+            (context.clone(), clients.clone(), std::mem::take(&mut group));
         tokio::spawn(async move {
-            commit(&table, full).await;
+            commit(&context, &clients, full).await;
             drop(permit);
         });
     }
 }
 
 /// Writes a group; items whose condition fails are taken out and the rest is written again.
-async fn commit(table: &Table, group: Vec<Item>) {
+async fn commit(context: &Context, clients: &Clients, group: Vec<Item>) {
     let (mut group, mut later) = split(group);
     while !group.is_empty() {
         let writes: Vec<Write> = group.iter().map(|item| item.write.clone()).collect();
-        match table.write(&writes).await {
+        match clients.write(context, &writes).await {
             Err(Error::Refused { items }) => group = take_refused(group, &items),
             outcome => {
                 settle(group, &outcome);
--- a/crates/cowslipcross/src/store/mod.rs
+++ b/crates/cowslipcross/src/store/mod.rs
@@ -2,13 +2,20 @@
 
 pub mod ask;
 mod batch;
+mod health;
 mod orders;
 
 use {
     crate::context::Context,
     ask::Ask,
     batch::Batches,
-    cowslip_platform::{instances::Instances, objects::Objects, table::Table},
+    cowslip_platform::{
+        Result,
+        instances::Instances,
+        objects::Objects,
+        table::{Row, Table, Write},
+    },
+    health::Health,
     std::{sync::Arc, time::Duration},
     tokio::sync::mpsc,
 };
@@ -22,6 +29,16 @@
     pub objects: Objects,
     /// Instance list.
     pub list: Instances,
+    /// Whether they answer.
+    pub health: Arc<Healths>,
+}
+
+/// Whether each service of the platform answers.
+#[derive(Debug)]
+pub struct Healths {
+    table: Health,
+    objects: Health,
+    list: Health,
 }
 
 impl Clients {
@@ -33,8 +50,37 @@
             table: Table::new(address(&platform.table), &platform.table_name, limit),
             objects: Objects::new(address(&platform.objects), &platform.bucket, limit),
             list: Instances::new(address(&platform.instances), limit),
+            health: Arc::new(Healths {
+                table: Health::table(),
+                objects: Health::objects(),
+                list: Health::list(),
+            }),
         }
     }
+
+    /// Reads a row of the table.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer came in time.
+    pub async fn get(&self, context: &Context, pk: &str, sk: &str) -> Result<Option<Row>> {
+        self.health
+            .table
+            .watch(context, self.table.get(pk, sk))
+            .await
+    }
+
+    /// Carries out a transaction of the table.
+    ///
+    /// # Errors
+    ///
+    /// Says which conditions failed, or whether the write may have happened.
+    pub async fn write(&self, context: &Context, writes: &[Write]) -> Result<()> {
+        self.health
+            .table
+            .watch(context, self.table.write(writes))
+            .await
+    }
 }
 
 /// Returns the `ip:port` of a URL that the settings have checked.
@@ -45,7 +91,7 @@
 /// Carries out what the ring brings, until every sender has gone.
 pub async fn serve(context: Arc<Context>, mut asks: mpsc::Receiver<Ask>) {
     let clients = Clients::new(&context);
-    let batches = Batches::start(context.clone(), clients.table.clone());
+    let batches = Batches::start(context.clone(), clients.clone());
     while let Some(ask) = asks.recv().await {
         let (context, clients, batches) = (context.clone(), clients.clone(), batches.clone());
         tokio::spawn(async move { carry_out(&context, &clients, &batches, ask).await });
@@ -56,19 +102,31 @@
 async fn carry_out(context: &Context, clients: &Clients, batches: &Batches, ask: Ask) {
     match ask {
         Ask::Get { pk, sk, reply } => {
-            let _ = reply.send(clients.table.get(&pk, &sk).await);
+            let _ = reply.send(clients.get(context, &pk, &sk).await);
         }
         Ask::Write { writes, reply } => {
-            let _ = reply.send(clients.table.write(&writes).await);
+            let _ = reply.send(clients.write(context, &writes).await);
         }
         Ask::Object { key, reply } => {
-            let _ = reply.send(clients.objects.get(&key).await);
+            let _ = reply.send(
+                clients
+                    .health
+                    .objects
+                    .watch(context, clients.objects.get(&key))
+                    .await,
+            );
         }
         Ask::List { reply } => {
-            let _ = reply.send(clients.list.list().await);
+            let _ = reply.send(
+                clients
+                    .health
+                    .list
+                    .watch(context, clients.list.list())
+                    .await,
+            );
         }
         Ask::Begin { order, reply } => {
-            let _ = reply.send(orders::begin(context, &clients.table, batches, order).await);
+            let _ = reply.send(orders::begin(context, clients, batches, order).await);
         }
         Ask::End {
             order,
--- a/crates/cowslipcross/src/store/orders.rs
+++ b/crates/cowslipcross/src/store/orders.rs
@@ -2,12 +2,13 @@
 
 use {
     super::{
+        Clients,
         ask::{Begun, Order},
         batch::Batches,
     },
     crate::{context::Context, events},
     cowslip_decide::order::{self, Found, Journalled, OrderEnd, OrderRow, OrderStep},
-    cowslip_platform::table::{Condition, Row, Table, Write},
+    cowslip_platform::table::{Condition, Row, Write},
     std::time::Duration,
     tokio::time::sleep,
 };
@@ -20,21 +21,30 @@
 const END_WAIT: Duration = Duration::from_millis(100);
 
 /// Journals an order, or finds out what an earlier arrival has left.
-pub async fn begin(context: &Context, table: &Table, batches: &Batches, order: Order) -> Begun {
+pub async fn begin(context: &Context, clients: &Clients, batches: &Batches, order: Order) -> Begun {
     let mut step = write(batches, &order, None).await;
     loop {
         step = match step {
-            OrderStep::Read => match read(table, &order).await {
+            OrderStep::Read => match read(context, clients, &order).await {
                 Ok(found) => order::judge(&order.row, found),
                 Err(_) => OrderStep::Refuse,
             },
-            OrderStep::Replace { version } => write(batches, &order, Some(version)).await,
+            OrderStep::Replace { version } => {
+                note(context, &order, events::ORDER_TAKEN_OVER);
+                write(batches, &order, Some(version)).await
+            }
             OrderStep::Send { version } => {
                 note(context, &order, events::ORDER_JOURNALLED);
                 return Begun::Send(version);
             }
-            OrderStep::Answer(end) => return Begun::Answer(end),
-            OrderStep::Duplicate => return Begun::Duplicate,
+            OrderStep::Answer(end) => {
+                note(context, &order, events::ORDER_DUPLICATE);
+                return Begun::Answer(end);
+            }
+            OrderStep::Duplicate => {
+                note(context, &order, events::ORDER_DUPLICATE);
+                return Begun::Duplicate;
+            }
             OrderStep::Mismatch => return Begun::Mismatch,
             OrderStep::Refuse => return Begun::Refused,
         };
@@ -71,8 +81,12 @@
     order::journalled(outcome, version)
 }
 
-async fn read(table: &Table, order: &Order) -> cowslip_platform::Result<Option<Found>> {
-    let Some(row) = table.get(JOURNAL, &order.id).await? else {
+async fn read(
+    context: &Context,
+    clients: &Clients,
+    order: &Order,
+) -> cowslip_platform::Result<Option<Found>> {
+    let Some(row) = clients.get(context, JOURNAL, &order.id).await? else {
         return Ok(None);
     };
     match serde_json::from_str(&row.body) {
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -45,6 +45,8 @@
             seen: seen.collect(),
             loads: beat.loads.as_ref().map(loads),
             clock: 0,
+            data_centre: String::new(),
+            leaving: false,
         }
     }
 }
