--- a/crates/cowslipctl/src/timeline.rs
+++ b/crates/cowslipctl/src/timeline.rs
@@ -26,25 +26,36 @@
     let exit = status::exit(settings, &answers)?;
     let events = merge(&answers.reached, &Filter::from(matches));
     let gaps = gaps(&answers.reached);
-    let text = match matches.get_one::<String>("format").map(String::as_str) {
-        Some("svg") => picture::svg(&events).map_err(Error::Refused)?,
-        _ => text(&events, &gaps) + &status::unreachable(&answers.unreachable),
-    };
+    let missing = status::unreachable(&answers.unreachable);
     let json = json!({ "events": events, "gaps": gaps, "unreachable": answers.unreachable });
-    let mut reply = Reply { text, json, exit };
-    if matches
-        .get_one::<String>("format")
-        .is_some_and(|format| format == "json")
-    {
-        reply.text = format!("{}\n", reply.json);
-    }
+    let text = match format(matches) {
+        "svg" => picture::svg(&events).map_err(|error| Error::Refused(error.to_string()))?,
+        "json" => format!("{json}\n"),
+        _ => text(&events, &gaps) + &missing,
+    };
     let Some(path) = matches.get_one::<PathBuf>("out") else {
-        return Ok(reply);
+        return Ok(Reply { text, json, exit });
     };
-    save(path, &reply.text)?;
-    let said = format!("{} events in {}\n", events.len(), path.display());
-    reply.text = said + &status::unreachable(&answers.unreachable);
-    Ok(reply)
+    save(path, &text)?;
+    let file = path.display().to_string();
+    Ok(Reply {
+        text: format!("{} events in {file}\n{missing}", events.len()),
+        json: json!({
+            "events": events.len(), "file": file, "gaps": gaps,
+            "unreachable": answers.unreachable,
+        }),
+        exit,
+    })
+}
+
+/// Returns the form of the output.
+fn format(matches: &ArgMatches) -> &str {
+    if matches.get_flag("json") {
+        return "json";
+    }
+    matches
+        .get_one::<String>("format")
+        .map_or("text", String::as_str)
 }
 
 /// Merges pages in causal order; events of one stamp are ordered by process and number.
--- a/crates/cowslipctl/src/timeline/picture.rs
+++ b/crates/cowslipctl/src/timeline/picture.rs
@@ -3,12 +3,18 @@
 use {
     super::event::Event,
     plotters::prelude::{
-        BLACK, ChartBuilder, Circle, Color, IntoDrawingArea, IntoFont, PathElement, RGBColor,
-        SVGBackend, Text, WHITE,
+        BLACK, ChartBuilder, Circle, Color, DrawingAreaErrorKind, IntoDrawingArea, IntoFont,
+        PathElement, RGBColor, SVGBackend, Text, WHITE,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        io,
     },
-    std::collections::{BTreeMap, BTreeSet},
 };
 
+/// Result of drawing a picture.
+pub type Result<T> = std::result::Result<T, DrawingAreaErrorKind<io::Error>>;
+
 /// Width in pixels.
 const WIDTH: u32 = 1400;
 /// Height of a lane in pixels.
@@ -26,15 +32,15 @@
 ///
 /// # Errors
 /// Passes on what the plotting library says.
-pub fn svg(events: &[Event]) -> Result<String, String> {
+pub fn svg(events: &[Event]) -> Result<String> {
     let mut text = String::new();
-    draw(events, &mut text).map_err(|error| error.to_string())?;
+    draw(events, &mut text)?;
     Ok(text)
 }
 
-fn draw(events: &[Event], text: &mut String) -> Result<(), Box<dyn std::error::Error>> {
+fn draw(events: &[Event], text: &mut String) -> Result<()> {
     let names: BTreeSet<_> = events.iter().map(|event| &event.process).collect();
-    let lanes: BTreeMap<_, _> = names.iter().copied().zip(0_u32..).collect();
+    let lanes: BTreeMap<_, _> = names.into_iter().zip(0_u32..).collect();
     let count = lanes.len().max(1) as u32;
     let first = events.first().map_or(0, |event| event.wall);
     let last = events.last().map_or(0, |event| event.wall);
@@ -51,26 +57,19 @@
         .x_label_area_size(40)
         .y_label_area_size(NAMES)
         .build_cartesian_2d(-span * 0.02..span * 1.05, 0.0..f64::from(count))?;
-    let named = |lane: &f64| {
-        let name = names.iter().nth(*lane as usize);
-        name.map_or_else(String::new, |name| (*name).to_string())
-    };
-    let centres: Vec<f64> = (0..count).map(|lane| f64::from(lane) + 0.5).collect();
     chart
         .configure_mesh()
         .disable_mesh()
         .x_desc("milliseconds since the first event")
         .y_labels(0)
         .draw()?;
-    for centre in centres {
+    for (name, lane) in &lanes {
+        let centre = f64::from(*lane) + 0.5;
         let line = vec![(0.0, centre), (span, centre)];
         chart.draw_series([PathElement::new(line, BLACK.mix(0.2))])?;
         let font = ("sans-serif", 14).into_font();
-        chart.draw_series([Text::new(
-            named(&centre),
-            (-span * 0.02, centre + 0.3),
-            font,
-        )])?;
+        let place = (-span * 0.02, centre + 0.3);
+        chart.draw_series([Text::new(name.to_string(), place, font)])?;
     }
     let points = events
         .iter()
