--- a/crates/decide/src/plan/balance.rs
+++ b/crates/decide/src/plan/balance.rs
@@ -112,11 +112,11 @@
             .open()
             .filter(spare)
             .min_by(|a, b| self.relative(*a).total_cmp(&self.relative(*b)));
-        let Some(to) = to.filter(|to| self.relative(*to) < 1.0) else {
+        let Some(to) = to.filter(|to| self.relative(*to) < GOAL) else {
             return false;
         };
         let excess = (self.relative(from) - 1.0) * self.targets.list[from].slots;
-        let lack = (1.0 - self.relative(to)) * self.targets.list[to].slots;
+        let lack = (GOAL - self.relative(to)) * self.targets.list[to].slots;
         let load = excess.min(lack) * self.mean;
         load >= MIN_MOVE * self.mean && self.send(from, to, load)
     }
@@ -165,12 +165,15 @@
         if piece.single() || !(0.0..0.95).contains(&share) {
             return None;
         }
+        let cut = piece.load * share;
+        if cut < MIN_MOVE * self.mean {
+            return None;
+        }
         let length = ((piece.end - piece.start) as f64 * share) as u64;
         let start = piece.end - length;
         if start <= piece.start {
             return None;
         }
-        let cut = piece.load * share;
         Some(self.pieces.cut(i, start, cut))
     }
 }
--- a/crates/settings/src/topology.rs
+++ b/crates/settings/src/topology.rs
@@ -1,38 +1,46 @@
-//! The configuration as the planner needs it.
+//! The part of the configuration document that the planner needs.
 
 use {
-    crate::document::{self, Document},
+    crate::document::{Document, Service, Target},
     cowslip_decide::{
         names::Version,
-        plan::{POOL_SIZE, Service, Target, Topology},
+        plan::{self, POOL_SIZE, Topology},
     },
 };
 
-/// Returns what the planner has to know of a document.
-pub fn of(document: &Document, config: Version) -> Topology {
+/// Returns what the planner needs of `document`, which is in force as `version`.
+pub fn topology(document: &Document, version: Version) -> Topology {
     let services = document.services.iter();
     Topology {
-        config,
-        services: services.map(|it| (it.name.clone(), service(it))).collect(),
+        config: version,
+        services: services
+            .map(|service| (service.name.clone(), service.into()))
+            .collect(),
         withdrawn: document.withdrawn.clone(),
         pool_size: POOL_SIZE,
     }
 }
 
-fn service(service: &document::Service) -> Service {
-    let targets = service.targets.iter();
-    Service {
-        divided: service.divided,
-        targets: targets.map(|it| (it.name.clone(), target(it))).collect(),
+impl From<&Service> for plan::Service {
+    fn from(service: &Service) -> Self {
+        let targets = service.targets.iter();
+        Self {
+            divided: service.divided,
+            targets: targets
+                .map(|target| (target.name.clone(), target.into()))
+                .collect(),
+        }
     }
 }
 
-fn target(target: &document::Target) -> Target {
-    Target {
-        data_centre: target.data_centre.clone(),
-        slots: target.slots,
-        cold_limit: target.cold_limit,
-        connections: target.connections,
-        checks_fence: target.checks_fence,
+impl From<&Target> for plan::Target {
+    fn from(target: &Target) -> Self {
+        Self {
+            data_centre: target.data_centre.clone(),
+            slots: target.slots,
+            cold_limit: target.cold_limit,
+            connections: target.connections,
+            checks_fence: target.checks_fence,
+        }
     }
 }
