--- a/crates/standins/src/bin/standin-target.rs
+++ b/crates/standins/src/bin/standin-target.rs
@@ -10,14 +10,15 @@
 
 fn main() -> Result<()> {
     let matches = command().get_matches();
-    let count: usize = get(&matches, "count");
+    let names = names(&matches);
+    let count = names.len();
     let threads = get::<usize>(&matches, "threads").clamp(1, count.max(1));
     let options = options(&matches);
     let workers: Vec<_> = (0..threads)
         .map(|thread| {
             let mine: Vec<_> = (thread..count)
                 .step_by(threads)
-                .map(|number| numbered(&options, number, &matches))
+                .map(|number| numbered(&options, number, &names[number], &matches))
                 .collect();
             thread::spawn(move || run(mine))
         })
@@ -39,6 +40,11 @@
         .arg(number("count", "1", "Targets"))
         .arg(number("threads", "1", "Threads"))
         .arg(arg("name-prefix", "t", "Names are this and a number"))
+        .arg(arg(
+            "names",
+            "",
+            "Names, separated by commas, in place of count and prefix",
+        ))
         .arg(arg("service", "board-registry", "Service"))
         .arg(arg(
             "data-centre",
@@ -105,7 +111,24 @@
     }
 }
 
-fn numbered(options: &Options, number: usize, matches: &ArgMatches) -> (Options, String) {
+fn names(matches: &ArgMatches) -> Vec<String> {
+    let names: String = get(matches, "names");
+    if !names.is_empty() {
+        return names.split(',').map(str::to_owned).collect();
+    }
+    let prefix: String = get(matches, "name-prefix");
+    let count = get::<usize>(matches, "count");
+    (1..=count)
+        .map(|number| format!("{prefix}{number}"))
+        .collect()
+}
+
+fn numbered(
+    options: &Options,
+    number: usize,
+    name: &str,
+    matches: &ArgMatches,
+) -> (Options, String) {
     let centres: String = get(matches, "data-centre");
     let centres: Vec<_> = centres.split(',').collect();
     let addresses: String = get(matches, "addresses");
@@ -116,7 +139,7 @@
         address
     };
     let options = Options {
-        name: format!("{}{}", get::<String>(matches, "name-prefix"), number + 1),
+        name: name.to_owned(),
         data_centre: centres[number % centres.len()].to_owned(),
         ..options.clone()
     };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod client;
 pub mod clock;
+pub mod cluster;
 pub mod measures;
 pub mod platform;
 pub mod target;
