fix(standins): start targets of one service that differ apart

The last five targets of the board registry check no fence; they were started with the checks of the first one, got no grants and refused everything, so that the deployment never became ready. Ruled out: the ranges and the holder.

Targets are now grouped by their limits and by whether they check fences. A repeat that was answered duplicate no longer counts as a request not served.

--- a/crates/standins/src/caller/tally.rs
+++ b/crates/standins/src/caller/tally.rs
@@ -90,7 +90,7 @@
                 _ => {
                     *figures
                         .refused
-                        .entry(format!("{reason} ({verdict})"))
+                        .entry(format!("{reason}, status {} ({verdict})", sent.status))
                         .or_default() += 1
                 }
             }
--- a/crates/standins/src/cluster/files.rs
+++ b/crates/standins/src/cluster/files.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{Instance, Layout, TOKEN},
-    cowslip_settings::document::Service,
+    cowslip_settings::document::{Service, Target},
     eyre::{Result, WrapErr},
     std::{
+        collections::BTreeMap,
         env, fs,
         path::{Path, PathBuf},
         process,
@@ -78,13 +79,26 @@
     text
 }
 
-/// Returns the arguments for the targets of a service.
-pub(super) fn target_args(service: &Service, layout: &Layout) -> Vec<String> {
+/// Returns the targets of a service in groups that differ in name and data centre only.
+pub(super) fn alike(service: &Service) -> impl Iterator<Item = Vec<&Target>> {
+    let mut groups: BTreeMap<_, Vec<&Target>> = BTreeMap::new();
+    for target in &service.targets {
+        let limits = (target.slots, target.cold_limit, target.connections);
+        groups
+            .entry((limits, target.checks_fence))
+            .or_default()
+            .push(target);
+    }
+    groups.into_values()
+}
+
+/// Returns the arguments for targets of a service that are alike.
+pub(super) fn target_args(service: &Service, targets: &[&Target], layout: &Layout) -> Vec<String> {
     let joined = |words: Vec<&str>| words.join(",");
-    let first = &service.targets[0];
+    let first = targets[0];
     let mut args: Vec<String> = vec![
         "--names".to_owned(),
-        joined(service.targets.iter().map(|target| &*target.name).collect()),
+        joined(targets.iter().map(|target| &*target.name).collect()),
         "--data-centre".to_owned(),
         joined(
             service
--- a/crates/standins/src/measures/windows.rs
+++ b/crates/standins/src/measures/windows.rs
@@ -29,7 +29,9 @@
     let mut tally = Tally::default();
     let within = history
         .iter()
-        .filter(|sent| (window.from..window.until).contains(&sent.sent));
+        .filter(|sent| (window.from..window.until).contains(&sent.sent))
+        // The first sending of the order counts.
+        .filter(|sent| sent.reason.as_deref() != Some("duplicate"));
     for sent in within {
         tally.add(kinds, sent.clone(), false);
     }
