--- /dev/null
+++ b/crates/standins/src/bench/mod.rs
@@ -0,0 +1,4 @@
+//! Benchmarks that print tables for the docs.
+
+pub mod drills;
+pub mod router;
--- a/crates/standins/src/measures/gaps.rs
+++ b/crates/standins/src/measures/gaps.rs
@@ -11,6 +11,9 @@
 /// Reasons of refusals that do not mean that a key is out of service.
 const NOT_A_GAP: [&str; 3] = ["overload", "duplicate", "bad-request"];
 
+/// Time of an answer from which a request counts as held up by a fault.
+const HELD_UP: Duration = Duration::from_millis(100);
+
 /// Time unavailable of one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Gaps {
@@ -70,3 +73,31 @@
     let refused = !matches!(sent.verdict, Some(Verdict::Ran)) && !NOT_A_GAP.contains(&reason);
     sent.fault == Some(Fault::Lost) || refused
 }
+
+/// Returns the time from a fault until the last request that it held up was followed by a served
+/// one for the same slice of keys, and the number of requests that it held up.
+///
+/// A request is held up if it failed or took longer than 100 ms.
+pub fn recovery(kinds: &[Kind], history: &[Sent], fault: u64) -> (Duration, usize) {
+    let mut last: BTreeMap<(usize, u64), (u64, bool)> = BTreeMap::new();
+    let mut count = 0;
+    for sent in history.iter().filter(|sent| sent.answered >= fault) {
+        let slice = match kinds[sent.kind].divided {
+            true => key_hash(&sent.key) / (u64::MAX / SLICES + 1),
+            false => 0,
+        };
+        let ran = sent.verdict == Some(Verdict::Ran);
+        let late = sent.answered - sent.sent > HELD_UP.as_micros() as u64;
+        let (end, open) = last.entry((sent.kind, slice)).or_default();
+        if failed(sent) || late {
+            count += 1;
+            *end = (*end).max(sent.answered);
+            *open = !ran;
+        } else if ran && *open {
+            *end = (*end).max(sent.answered);
+            *open = false;
+        }
+    }
+    let end = last.values().map(|(end, _)| *end).max().unwrap_or_default();
+    (Duration::from_micros(end.saturating_sub(fault)), count)
+}
--- a/crates/standins/src/measures/mod.rs
+++ b/crates/standins/src/measures/mod.rs
@@ -6,7 +6,7 @@
 mod windows;
 
 pub use {
-    gaps::{Gaps, gaps},
+    gaps::{Gaps, gaps, recovery},
     promises::{Broken, Promise, check},
     spread::{churn, imbalance},
     windows::{Service, Window, services},
