--- a/crates/cowslipctl/src/cli.rs
+++ b/crates/cowslipctl/src/cli.rs
@@ -137,6 +137,7 @@
         Arg::new("format")
             .long("format")
             .value_parser(formats)
+            .conflicts_with("json")
             .help("Form of the output; text unless --json is given"),
     )
     .arg(file("out", "Write to this file instead of the standard output").long("out"))
--- a/crates/cowslipctl/tests/commands.rs
+++ b/crates/cowslipctl/tests/commands.rs
@@ -305,6 +305,15 @@
             .expect("a file")
             .contains("<circle")
     );
+    let words = ["timeline", token, &first, &second, "--json", "--out", &svg];
+    let (code, out, _) = run(&words).await;
+    let json: Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!((code, &json["events"]), (0, &2.into()));
+    let saved = fs::read_to_string(&svg).expect("a file");
+    let saved: Value = serde_json::from_str(&saved).expect("JSON");
+    assert_eq!(saved["events"].as_array().map(Vec::len), Some(2));
+    let words = ["timeline", token, &first, "--json", "--format=svg"];
+    assert_eq!(run(&words).await.0, 2);
 }
 
 #[tokio::test]
