fix(settings): keep a refused token out of the error

Cause: an error repeated the value found, also that of `token`, which then stood in logs. Change: fields of kind `Secret` say only their length.

--- a/crates/cowslipcross/src/operators/bounded.rs
+++ b/crates/cowslipcross/src/operators/bounded.rs
@@ -56,6 +56,10 @@
     }
 }
 
+#[cfg(test)]
+#[path = "bounded_tests.rs"]
+mod tests;
+
 impl AsyncRead for Bounded {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -26,6 +26,8 @@
     Names,
     /// Text of so many bytes.
     Text(usize, usize),
+    /// Text of so many bytes that errors do not repeat.
+    Secret(usize, usize),
     /// A whole number within bounds, both included.
     Number(u64, u64),
     /// `true` or `false`.
@@ -68,6 +70,7 @@
             }
             Self::Names => f.write_str("a list of different names"),
             Self::Text(low, high) => write!(f, "a text of {low} to {high} bytes"),
+            Self::Secret(low, high) => write!(f, "a secret text of {low} to {high} bytes"),
             Self::Number(low, high) => write!(f, "a whole number from {low} to {high}"),
             Self::Flag => f.write_str("true or false"),
             Self::Address => f.write_str("an address as ip:port with a port from 1 to 65535"),
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -21,7 +21,7 @@
 };
 const TOKEN: Field = Field {
     path: "token",
-    kind: Kind::Text(0, 256),
+    kind: Kind::Secret(0, 256),
     unit: "",
     default: Some(""),
     meaning: "Secret of the operators' ports.",
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -33,7 +33,7 @@
 );
 const TOKEN: Field = field(
     "token",
-    Kind::Text(8, 256),
+    Kind::Secret(8, 256),
     "Secret of the operators' port and of the peers.",
 );
 const PEER: Field = field(
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -253,7 +253,7 @@
         let text = self.value.get_ref().as_str();
         text.filter(|text| fits(kind, text))
             .map(Name::from)
-            .ok_or_else(|| self.invalid(kind.to_string()))
+            .ok_or_else(|| self.unfit(kind))
     }
 
     /// Returns the address if it is of `kind`.
@@ -270,11 +270,25 @@
 
     /// Returns the error that this value is not what was expected.
     pub fn invalid(&self, expected: impl Into<String>) -> Error {
+        self.error(expected.into(), shown(self.value.get_ref()))
+    }
+
+    /// Returns the error that this value is not of `kind`, without repeating a secret.
+    fn unfit(&self, kind: Kind) -> Error {
+        match (kind, self.value.get_ref().as_str()) {
+            (Kind::Secret(..), Some(text)) => {
+                self.error(kind.to_string(), format!("a text of {} bytes", text.len()))
+            }
+            _ => self.invalid(kind.to_string()),
+        }
+    }
+
+    fn error(&self, expected: String, found: String) -> Error {
         Error::Invalid {
             place: self.source.place(&self.value.span()),
             path: self.path.clone(),
-            expected: expected.into(),
-            found: shown(self.value.get_ref()),
+            expected,
+            found,
         }
     }
 
@@ -316,7 +330,7 @@
             let first = text.starts_with(|it: char| it.is_ascii_alphanumeric());
             first && text.len() <= 64 && text.bytes().all(allowed)
         }
-        Kind::Text(low, high) => (low..=high).contains(&text.len()),
+        Kind::Text(low, high) | Kind::Secret(low, high) => (low..=high).contains(&text.len()),
         Kind::Address => text.parse().is_ok_and(|it: SocketAddr| it.port() > 0),
         Kind::Listen => text.parse::<SocketAddr>().is_ok(),
         Kind::Url => text
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -113,6 +113,8 @@
         "peers.entry-2",
         "1 to 65535",
     );
+    let error = read(&GOOD.replace("a-long-token", "secret"), &[]).expect_err("short token");
+    assert!(!error.to_string().contains("\"secret\""), "{error}");
     refused(
         "http://127.0.0.1:8000",
         "https://x",
