--- a/crates/decide/src/member/query.rs
+++ b/crates/decide/src/member/query.rs
@@ -3,11 +3,14 @@
 use {
     super::{Heartbeat, Member, majority, peer::Peer},
     crate::{
-        assign::Losses,
+        assign::{Assignment, Losses},
         duty::Load,
         names::{Incarnation, Name, Version},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
     tokio::time::Instant,
 };
 
@@ -18,6 +21,11 @@
         assignment.map_or(Version::default(), |assignment| assignment.version)
     }
 
+    /// Returns the assignment that this instance follows.
+    pub fn assignment(&self) -> Option<&Arc<Assignment>> {
+        self.assignment.as_ref()
+    }
+
     /// Returns whether this instance has a lease at `now`.
     pub fn has_lease(&self, now: Instant) -> bool {
         self.lease.is_some_and(|end| now < end)
@@ -67,6 +75,20 @@
         alive.cloned().collect()
     }
 
+    /// Returns the lost instances that were heard lately and are synced; a version that renews
+    /// the `since` of their holdings takes them back.
+    pub fn returning(&self, now: Instant) -> BTreeSet<Name> {
+        let lost = self.losses.instances.iter();
+        let back = lost.filter(|name| self.is_there(now, name) && self.is_synced(name));
+        back.cloned().collect()
+    }
+
+    /// Returns whether a majority of the members is there and synced, so that a planner here
+    /// judges by what most of them know. A lease is not needed: all may be lost at this version.
+    pub fn sees_majority(&self) -> bool {
+        self.bare.is_none()
+    }
+
     /// Returns the newest run of each instance that was heard lately, for a reset.
     pub fn incarnations(&self, now: Instant) -> BTreeMap<Name, Incarnation> {
         let there = self
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod process;
 mod reader;
 mod section;
+pub mod topology;
