refactor(ctl): publish through the platform's conditional write

Cause: the loop that settles a lost answer stood twice. Change: `cowslip_platform::commit::commit` carries out the write. An outcome after which no write was ever sent is now "unknown" as well, which is the careful answer.

--- a/crates/cowslipctl/src/store.rs
+++ b/crates/cowslipctl/src/store.rs
@@ -2,14 +2,12 @@
 
 use {
     crate::error::{Error, Result},
-    cowslip_decide::{
-        commit::{Commit, Event, Seen, Step},
-        names::Name,
-    },
+    cowslip_decide::names::Name,
     cowslip_platform::{
         Error as PlatformError,
+        commit::{Outcome, commit},
         objects::Objects,
-        table::{Condition, Row, Table, Write},
+        table::{Row, Table},
     },
     cowslip_settings::{document, operator::Platform, process::platform::address},
     serde::{Deserialize, Serialize},
@@ -77,7 +75,7 @@
     /// Fails if the table cannot be reached.
     pub async fn current(&self) -> Result<Option<Current>> {
         let row = self.table.get(KEY.0, KEY.1).await.map_err(unreachable)?;
-        row.map(|row| current(row.version, &row.body)).transpose()
+        row.as_ref().map(current).transpose()
     }
 
     /// Returns the text of a published document.
@@ -127,82 +125,34 @@
     }
 
     async fn replace(&self, hash: String, expected: u64) -> Result<Current> {
+        let version = expected + 1;
         let body = Body {
-            version: expected + 1,
+            version,
             hash,
             author: self.author.to_string(),
             id: format!("{:016x}", RandomState::new().hash_one(())),
         };
         let text =
             serde_json::to_string(&body).map_err(|error| Error::Refused(error.to_string()))?;
-        let replaces = (expected > 0).then_some(expected);
-        let mut commit = Commit::new(replaces, text.as_str().into());
-        let mut sent = false;
-        let mut step = commit.start();
-        loop {
-            let event = match step {
-                Step::Write { after } => {
-                    sleep(after).await;
-                    let event = self.write(&text, replaces, commit.version()).await;
-                    sent |= event != Event::NotSent;
-                    event
-                }
-                Step::ReadBack { after } => {
-                    sleep(after).await;
-                    self.read_back().await
-                }
-                Step::Done => return current(commit.version(), &text),
-                Step::Lost { seen } => {
-                    let found = seen
-                        .map(|seen| current(seen.version, &seen.body))
-                        .transpose()?;
-                    return Err(lost(expected, found));
-                }
-                Step::GiveUp if sent => {
-                    return Err(Error::Unknown {
-                        version: commit.version(),
-                    });
-                }
-                Step::GiveUp => {
-                    return Err(Error::Unreachable("the write was not sent".to_owned()));
-                }
-            };
-            step = commit.on(event);
-        }
-    }
-
-    async fn write(&self, body: &str, replaces: Option<u64>, version: u64) -> Event {
         let row = Row {
             pk: KEY.0.into(),
             sk: KEY.1.into(),
             version,
-            body: body.to_owned(),
+            body: text,
         };
-        let when = replaces.map_or(Condition::Absent, Condition::Version);
-        match self.table.write(&[Write::Put { row, when }]).await {
-            Ok(()) => Event::Answered,
-            Err(PlatformError::Refused { .. }) => Event::Refused,
-            Err(PlatformError::Unknown(_)) => Event::Unknown,
-            Err(PlatformError::Rejected { .. } | PlatformError::NotSent(_)) => Event::NotSent,
-        }
-    }
-
-    async fn read_back(&self) -> Event {
-        match self.table.get(KEY.0, KEY.1).await {
-            Ok(row) => Event::Read(row.map(|row| Seen {
-                version: row.version,
-                body: row.body.into(),
-            })),
-            Err(_) => Event::Unread,
+        match commit(&self.table, &row, &[]).await {
+            Outcome::Done => current(&row),
+            Outcome::Lost(found) => Err(lost(expected, found.as_ref().map(current).transpose()?)),
+            Outcome::Unknown => Err(Error::Unknown { version }),
         }
     }
 }
 
-fn current(version: u64, body: &str) -> Result<Current> {
-    let body: Body = serde_json::from_str(body)
+fn current(row: &Row) -> Result<Current> {
+    let body: Body = serde_json::from_str(&row.body)
         .map_err(|error| Error::Refused(format!("row of the configuration: {error}")))?;
     Ok(Current {
-        version,
+        version: row.version,
         hash: body.hash,
         author: body.author,
     })
