fix(ctl): follow an order by its own id in the time line

Change: an id stands for itself and for the requests whose events name it as a whole word. Causes of a failed connection are told in full; a value that the text already has is not repeated after it. Seen failing: an_order_is_followed_through_its_requests before the change.

--- a/crates/cowslipcross/src/events/ring.rs
+++ b/crates/cowslipcross/src/events/ring.rs
@@ -110,7 +110,10 @@
             ("instance", &self.instance),
         ];
         for (name, value) in fields {
-            if let Some(value) = value {
+            if let Some(value) = value
+                .as_ref()
+                .filter(|value| !self.text.contains(&***value))
+            {
                 write!(f, " {name}={value:?}")?;
             }
         }
--- a/crates/cowslipctl/src/instances.rs
+++ b/crates/cowslipctl/src/instances.rs
@@ -4,6 +4,7 @@
     bytes::Bytes,
     cowslip_decide::names::Name,
     cowslip_settings::operator::Operator,
+    eyre::Report,
     http::{Request, header::AUTHORIZATION},
     http_body_util::{BodyExt, Empty, Limited},
     hyper_util::{client::legacy::Client, rt::TokioExecutor},
@@ -69,7 +70,7 @@
     let answer = client
         .request(request)
         .await
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| format!("{:#}", Report::new(error)))?;
     let status = answer.status();
     let body = Limited::new(answer.into_body(), LARGEST).collect().await;
     let body = body.map_err(|error| error.to_string())?.to_bytes();
--- a/crates/cowslipctl/src/timeline.rs
+++ b/crates/cowslipctl/src/timeline.rs
@@ -61,7 +61,7 @@
 /// Merges pages in causal order; events of one stamp are ordered by process and number.
 pub fn merge(pages: &BTreeMap<Name, Page>, filter: &Filter) -> Vec<Event> {
     let all = pages.values().flat_map(|page| &page.events);
-    let mut events: Vec<Event> = all.filter(|event| filter.passes(event)).cloned().collect();
+    let mut events: Vec<Event> = filter.kept(all).into_iter().cloned().collect();
     events.sort_by(|left, right| left.order().cmp(&right.order()));
     events
 }
--- a/crates/cowslipctl/tests/timeline.rs
+++ b/crates/cowslipctl/tests/timeline.rs
@@ -180,6 +180,56 @@
     );
 }
 
+#[test]
+fn an_order_is_followed_through_its_requests() {
+    let processes: Vec<_> = (0..2).map(process).collect();
+    let note = |process: usize, code, request: &str, detail: &str| {
+        let request = Some(request.into());
+        let detail = Some(detail.to_owned());
+        processes[process].note(
+            code,
+            About {
+                request,
+                detail,
+                ..About::default()
+            },
+        );
+    };
+    note(
+        0,
+        events::ORDER_JOURNALLED,
+        "entry-0-1-7",
+        "order registry/o-1",
+    );
+    note(1, events::REQUEST_SENT, "entry-0-1-7.1", "2 ms");
+    note(
+        0,
+        events::ORDER_JOURNALLED,
+        "entry-0-1-8",
+        "order registry/o-12",
+    );
+    note(1, events::REQUEST_SENT, "entry-0-1-8.1", "2 ms");
+    note(
+        1,
+        events::ORDER_DUPLICATE,
+        "entry-1-1-3",
+        "order registry/o-1",
+    );
+    let filter = Filter {
+        request: Some("o-1".into()),
+        ..Filter::default()
+    };
+    let merged = merge(&pages(&processes), &filter);
+    let codes: Vec<_> = merged.iter().map(|event| event.code.as_str()).collect();
+    assert_eq!(codes.len(), 3, "{codes:?}");
+    assert!(
+        ["CC0506", "CC0511", "CC0508"]
+            .iter()
+            .all(|code| codes.contains(code)),
+        "{codes:?}"
+    );
+}
+
 #[test]
 fn the_picture_has_a_point_for_each_event() {
     let processes: Vec<_> = (0..3).map(process).collect();
