--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -18,11 +18,13 @@
     /// Target that owns the range, with the next higher fence, once the owner is lost.
     pub standby: Option<Name>,
     /// Fence of the owner; the standby's is one higher.
+    ///
+    /// Whatever renews `since`, and a changed standby, raises it by two, because the standby may
+    /// have used the next one; a standby that takes over for good keeps the one it has used.
     pub fence: Fence,
-    /// Version of the assignment in which the owner, its fence or the bounds last changed.
+    /// Version of the assignment in which the range last passed to its owner.
     ///
-    /// A new owner other than the standby gets a fence at least two higher: the standby may have
-    /// used the next one.
+    /// A range that is cut in two keeps it; two that are alike and merged take the later one.
     pub since: Version,
 }
 
@@ -148,3 +150,19 @@
         })
     }
 }
+
+impl Assignment {
+    /// Returns this assignment as a reset: every range and holding is new, so that nothing that was
+    /// granted before counts, and the instances of `runs` start over.
+    pub fn start_over(mut self, runs: BTreeMap<Name, Incarnation>) -> Self {
+        for range in self.ranges.values_mut().flatten() {
+            range.since = self.version;
+            range.fence = range.fence.next().next();
+        }
+        for holding in self.holdings.values_mut() {
+            holding.since = self.version;
+        }
+        self.reset = runs;
+        self
+    }
+}
