perf(plan): choose receivers and standbys from ordered queues

Each orphaned range and each new standby was compared with every target, so that a first placement and a withdrawal grew with the square of the targets. A queue ordered by load, and one by standbys, give the same choice from their first entries.

What is left of the first placement is the choice of the holders' standbys among all instances.

--- a/crates/decide/src/plan/place.rs
+++ b/crates/decide/src/plan/place.rs
@@ -1,9 +1,12 @@
 //! Ranges that need an owner: all of them at first, later those of targets that may own nothing.
 
-use super::{
-    RANGES_PER_TARGET,
-    pieces::{Piece, Pieces},
-    targets::Targets,
+use {
+    super::{
+        RANGES_PER_TARGET,
+        pieces::{Piece, Pieces},
+        targets::Targets,
+    },
+    std::collections::BTreeSet,
 };
 
 /// Divides a service that has not been divided yet.
@@ -41,11 +44,19 @@
         .filter(|i| !owned(&pieces.list[*i], targets))
         .collect();
     orphans.sort_by(|a, b| pieces.list[*b].load.total_cmp(&pieces.list[*a].load));
+    let mut queue: BTreeSet<(u64, usize)> = targets
+        .open()
+        .map(|i| (rank(pieces, targets, i), i))
+        .collect();
     for i in &orphans {
-        let to = receiver(pieces, targets, &pieces.list[*i]);
+        let to = receiver(pieces, targets, &queue, pieces.list[*i].width());
+        let before = to.map(|to| (rank(pieces, targets, to), to));
         if to.is_some() || had(&pieces.list[*i]) {
             pieces.give(*i, to);
         }
+        if let Some((_, to)) = before.filter(|before| queue.remove(before)) {
+            queue.insert((rank(pieces, targets, to), to));
+        }
     }
     orphans.len()
 }
@@ -56,20 +67,26 @@
         .is_some_and(|owner| targets.list[owner].eligible)
 }
 
-fn receiver(pieces: &Pieces, targets: &Targets, piece: &Piece) -> Option<usize> {
-    let width = piece.width();
+/// Returns the load for each slot as a number of the same order.
+fn rank(pieces: &Pieces, targets: &Targets, i: usize) -> u64 {
+    (pieces.loads[i].max(0.0) / targets.list[i].slots).to_bits()
+}
+
+fn receiver(
+    pieces: &Pieces,
+    targets: &Targets,
+    queue: &BTreeSet<(u64, usize)>,
+    width: f64,
+) -> Option<usize> {
     let bears = |i: &usize| pieces.widths[*i] + width <= targets.list[*i].bound;
-    let relative = |i: usize| (pieces.loads[i] + piece.load) / targets.list[i].slots;
-    let least = |a: &usize, b: &usize| relative(*a).total_cmp(&relative(*b));
-    let filling = |a: &usize, b: &usize| {
-        let fill = |i: usize| pieces.widths[i] / targets.list[i].bound;
-        fill(*a).total_cmp(&fill(*b))
+    let fill = |i: usize| pieces.widths[i] / targets.list[i].bound;
+    let filling = |a: &usize, b: &usize| fill(*a).total_cmp(&fill(*b));
+    let least = queue.iter().map(|(_, i)| *i).find(bears);
+    // No target bears it yet, and no key may be without an owner for that.
+    let emptiest = || targets.open().min_by(filling);
+    let silent = || {
+        let eligible = targets.places(|target| target.eligible);
+        eligible.min_by_key(|i| rank(pieces, targets, *i))
     };
-    targets
-        .open()
-        .filter(bears)
-        .min_by(least)
-        // No target bears it yet, and no key may be without an owner for that.
-        .or_else(|| targets.open().min_by(filling))
-        .or_else(|| targets.places(|target| target.eligible).min_by(least))
+    least.or_else(emptiest).or_else(silent)
 }
--- a/crates/decide/src/plan/standby.rs
+++ b/crates/decide/src/plan/standby.rs
@@ -1,8 +1,11 @@
 //! Standby of each range: which target owns it once the owner is lost.
 
-use super::{
-    pieces::{Piece, Pieces},
-    targets::Targets,
+use {
+    super::{
+        pieces::{Piece, Pieces},
+        targets::Targets,
+    },
+    std::collections::BTreeSet,
 };
 
 /// Chooses a standby for each piece that needs one.
@@ -10,13 +13,7 @@
 /// The standbys of one owner are spread over all targets of other data centres, so that its load
 /// spreads if it is lost. In calm, standbys that crowd on one target are chosen anew.
 pub(super) fn choose(pieces: &mut Pieces, targets: &Targets, calm: bool) {
-    let candidates = candidates(targets);
-    let mut choice = Choice {
-        targets,
-        candidates: &candidates,
-        pairs: vec![0; targets.list.len()],
-        totals: vec![0; targets.list.len()],
-    };
+    let mut choice = Choice::new(targets);
     let owned = pieces.owned(targets.list.len());
     for piece in &mut pieces.list {
         piece.standby = piece.standby.filter(|standby| choice.fits(piece, *standby));
@@ -24,6 +21,11 @@
             choice.totals[standby] += 1;
         }
     }
+    choice.queue = choice
+        .candidates
+        .iter()
+        .map(|i| (choice.totals[*i], *i))
+        .collect();
     for (owner, owned) in owned.iter().enumerate() {
         choice.fill(pieces, owner, owned, calm);
     }
@@ -39,33 +41,54 @@
 
 struct Choice<'a, 'b> {
     targets: &'a Targets<'b>,
-    candidates: &'a [usize],
+    candidates: Vec<usize>,
+    /// Number of candidates in each data centre.
+    centres: Vec<usize>,
     /// Standbys that the owner at hand has at each target.
     pairs: Vec<usize>,
     /// Standbys that all owners have at each target.
     totals: Vec<usize>,
+    /// Candidates ordered by their totals.
+    queue: BTreeSet<(usize, usize)>,
 }
 
-impl Choice<'_, '_> {
+impl<'a, 'b> Choice<'a, 'b> {
+    fn new(targets: &'a Targets<'b>) -> Self {
+        let count = targets.list.len();
+        let candidates = candidates(targets);
+        let mut centres = vec![0; count];
+        for i in &candidates {
+            centres[targets.list[*i].centre] += 1;
+        }
+        Self {
+            targets,
+            candidates,
+            centres,
+            pairs: vec![0; count],
+            totals: vec![0; count],
+            queue: BTreeSet::new(),
+        }
+    }
+
     /// Returns whether a recorded standby may stay.
     fn fits(&self, piece: &Piece, standby: usize) -> bool {
         let Some(owner) = piece.owner.filter(|owner| *owner != standby) else {
             return false;
         };
-        self.targets.list[standby].eligible && (!self.near(owner, standby) || !self.far(owner))
+        let eligible = self.targets.list[standby].eligible;
+        eligible && (!self.near(owner, standby) || self.far(owner) == 0)
     }
 
     fn near(&self, owner: usize, standby: usize) -> bool {
         self.targets.list[owner].centre == self.targets.list[standby].centre
     }
 
-    /// Returns whether any target of another data centre may be standby.
-    fn far(&self, owner: usize) -> bool {
-        self.candidates.iter().any(|i| !self.near(owner, *i))
+    /// Returns the number of candidates in other data centres.
+    fn far(&self, owner: usize) -> usize {
+        self.candidates.len() - self.centres[self.targets.list[owner].centre]
     }
 
     fn fill(&mut self, pieces: &mut Pieces, owner: usize, owned: &[usize], calm: bool) {
-        self.pairs.fill(0);
         let most = match calm {
             true => self.most(owner, owned.len()),
             false => usize::MAX,
@@ -75,7 +98,7 @@
             match pieces.list[*i].standby {
                 Some(standby) if self.pairs[standby] < most => self.pairs[standby] += 1,
                 Some(standby) => {
-                    self.totals[standby] -= 1;
+                    self.count(standby, |total| total - 1);
                     open.push(*i);
                 }
                 None => open.push(*i),
@@ -86,15 +109,24 @@
             pieces.list[i].standby = standby;
             if let Some(standby) = standby {
                 self.pairs[standby] += 1;
-                self.totals[standby] += 1;
+                self.count(standby, |total| total + 1);
             }
         }
+        let standbys = owned.iter().filter_map(|i| pieces.list[*i].standby);
+        standbys.for_each(|standby| self.pairs[standby] = 0);
+    }
+
+    fn count(&mut self, standby: usize, change: impl Fn(usize) -> usize) {
+        let queued = self.queue.remove(&(self.totals[standby], standby));
+        self.totals[standby] = change(self.totals[standby]);
+        if queued {
+            self.queue.insert((self.totals[standby], standby));
+        }
     }
 
     /// Returns the most standbys that an owner may have at one target.
     fn most(&self, owner: usize, owned: usize) -> usize {
-        let far = self.candidates.iter().filter(|i| !self.near(owner, **i));
-        let places = match far.count() {
+        let places = match self.far(owner) {
             0 => self.candidates.len().saturating_sub(1),
             far => far,
         };
@@ -102,7 +134,12 @@
     }
 
     fn best(&self, owner: usize) -> Option<usize> {
+        let unpaired = |i: &usize| !self.near(owner, *i) && self.pairs[*i] == 0;
+        // Nearly always one of the first, so that the work does not grow with the targets.
+        let first = self.queue.iter().map(|(_, i)| *i).find(unpaired);
         let others = self.candidates.iter().copied().filter(|i| *i != owner);
-        others.min_by_key(|i| (self.near(owner, *i), self.pairs[*i], self.totals[*i], *i))
+        first.or_else(|| {
+            others.min_by_key(|i| (self.near(owner, *i), self.pairs[*i], self.totals[*i], *i))
+        })
     }
 }
