--- a/crates/decide/src/deliver/choice.rs
+++ b/crates/decide/src/deliver/choice.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
-/// Ratio to the fastest target's latency above which a target is slow.
+/// Ratio to the pool's median, or to the fastest target if that is higher, from which a target is
+/// slow.
 const SLOW: f64 = 3.0;
 
+/// Time after which a slow target gets a request that may not be repeated, and so not be hedged.
+const ORDER_TRIAL: Duration = Duration::from_millis(500);
+
 /// Time after which a slow target gets a trial request.
-const TRIAL: Duration = Duration::from_millis(100);
+const TRIAL: Duration = Duration::from_millis(50);
 
 /// Growth of the cost with each request at the target.
 const CROWDING: f64 = 0.25;
@@ -51,13 +55,17 @@
 pub fn pick(all: &[Candidate], demand: &Demand) -> Option<usize> {
     let times: Vec<f64> = all.iter().map(|one| one.time(demand.median)).collect();
     let fastest = times.iter().copied().fold(f64::INFINITY, f64::min);
-    let is_slow = |at: usize| times[at] > SLOW * fastest;
+    let usual = fastest.max(demand.median.as_secs_f64());
+    let is_slow = |at: usize| times[at] > SLOW * usual;
     let free = || (0..all.len()).filter(|at| all[*at].free);
-    if demand.repeatable {
-        let trial = free().find(|at| is_slow(*at) && all[*at].wants_trial());
-        if trial.is_some() {
-            return trial;
-        }
+    let period = if demand.repeatable {
+        TRIAL
+    } else {
+        ORDER_TRIAL
+    };
+    let trial = free().find(|at| is_slow(*at) && all[*at].wants_trial(period));
+    if trial.is_some() {
+        return trial;
     }
     let cost = |at: &usize| times[*at] * all[*at].factor();
     let cheapest = |a: &usize, b: &usize| cost(a).total_cmp(&cost(b));
@@ -88,7 +96,7 @@
         1.0 + CROWDING * f64::from(self.running)
     }
 
-    fn wants_trial(&self) -> bool {
-        self.running == 0 && self.untried >= TRIAL
+    fn wants_trial(&self, period: Duration) -> bool {
+        self.running == 0 && self.untried >= period
     }
 }
--- a/crates/decide/src/deliver/hedge.rs
+++ b/crates/decide/src/deliver/hedge.rs
@@ -9,7 +9,7 @@
 const MOST_SAVED: f64 = 10.0;
 
 /// Quantile of the recent times after which a request is hedged.
-const QUANTILE: f64 = 0.95;
+const QUANTILE: f64 = 0.97;
 
 /// Answers before the first hedge.
 const FEWEST_SAMPLES: usize = 16;
--- a/crates/decide/src/deliver/server.rs
+++ b/crates/decide/src/deliver/server.rs
@@ -12,6 +12,9 @@
 /// Weight of the last answer in the smoothed time.
 const WEIGHT: f64 = 0.5;
 
+/// Ratio of the smoothed time to that of an answer which shows that the target is fast again.
+const RECOVERED: f64 = 3.0;
+
 /// Weight of the last answer in the share of errors.
 const ERROR_WEIGHT: f64 = 0.1;
 
@@ -168,7 +171,9 @@
     fn observe(&mut self, time: Duration, error: bool) {
         let seconds = time.as_secs_f64();
         let latency = self.latency.unwrap_or(seconds);
-        self.latency = Some(latency + WEIGHT * (seconds - latency));
+        let recovered = seconds < latency / RECOVERED;
+        let weight = if recovered { 1.0 } else { WEIGHT };
+        self.latency = Some(latency + weight * (seconds - latency));
         let error = if error { 1.0 } else { 0.0 };
         self.errors += ERROR_WEIGHT * (error - self.errors);
     }
