test(deliver): let the baselines drop what has expired, and mend the model's wake-ups

Cause: each superseded wake-up of the model woke the lane and set another, so that runs took minutes and baselines without any shedding were compared. Ruled out: the lane, whose holder keeps one wake-up.

--- a/crates/decide/examples/deliver_policies.rs
+++ b/crates/decide/examples/deliver_policies.rs
@@ -203,6 +203,7 @@
                 Event::Arrive => self.arrive(),
                 Event::Finish { id, target, hedge } => self.finish(id, target, hedge),
                 Event::Moment => self.moment(),
+                Event::Wake if time != self.woken => continue,
                 Event::Wake => self.woken = u64::MAX,
             }
             self.dispatch();
@@ -316,7 +317,7 @@
     fn dispatch_fifo(&mut self) {
         for target in 0..TARGETS {
             while self.running[target] < SLOTS
-                && let Some(id) = self.fifo.pop_front()
+                && let Some(id) = pop(&mut self.fifo, &self.requests, self.now)
             {
                 self.begin(id, target, false);
             }
@@ -325,7 +326,7 @@
 
     fn dispatch_queue(&mut self, target: usize) {
         while self.running[target] < SLOTS
-            && let Some(id) = self.queues[target].pop_front()
+            && let Some(id) = pop(&mut self.queues[target], &self.requests, self.now)
         {
             self.begin(id, target, false);
         }
@@ -335,6 +336,10 @@
     fn dispatch_own(&mut self) {
         for instance in 0..INSTANCES {
             while let Some(id) = self.waiting[instance].front().copied() {
+                if self.requests[id].deadline <= self.now {
+                    self.waiting[instance].pop_front();
+                    continue;
+                }
                 let free = |target: &usize| !self.outstanding[instance][*target];
                 let turn = (0..TARGETS).map(|step| (self.turn + step) % TARGETS);
                 let Some(target) = turn.clone().find(free) else {
@@ -346,7 +351,16 @@
                 self.queues[target].push_back(id);
             }
         }
-        (0..TARGETS).for_each(|target| self.dispatch_queue(target));
+        (0..TARGETS).for_each(|target| self.dispatch_own_queue(target));
+    }
+
+    /// Serves what has arrived at a target, which knows no deadlines.
+    fn dispatch_own_queue(&mut self, target: usize) {
+        while self.running[target] < SLOTS
+            && let Some(id) = self.queues[target].pop_front()
+        {
+            self.begin(id, target, false);
+        }
     }
 
     fn begin(&mut self, id: usize, target: usize, hedge: bool) {
@@ -398,6 +412,11 @@
     }
 }
 
+/// Takes the first request whose deadline has not passed, as the plainest queue would.
+fn pop(queue: &mut VecDeque<usize>, requests: &[Request], now: u64) -> Option<usize> {
+    std::iter::from_fn(|| queue.pop_front()).find(|id| requests[*id].deadline > now)
+}
+
 impl Figures {
     fn centile(&mut self, share: f64) -> f64 {
         self.latencies.sort_unstable();
