--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -1,7 +1,7 @@
 //! The assignment: which target owns which keys, and which instance sends to which target.
 
 use {
-    crate::names::{Epoch, Fence, Name, Version},
+    crate::names::{Epoch, Fence, Incarnation, Name, Version},
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -13,13 +13,16 @@
 pub struct KeyRange {
     /// First hash of the range.
     pub start: u64,
-    /// Target that owns the range.
+    /// Target that owns the range; an empty name if nobody does.
     pub owner: Name,
     /// Target that owns the range, with the next higher fence, once the owner is lost.
     pub standby: Option<Name>,
     /// Fence of the owner; the standby's is one higher.
+    ///
+    /// A changed standby, and a new owner other than the standby, raise it by two, because the
+    /// earlier standby may have used the next one.
     pub fence: Fence,
-    /// Version of the assignment in which the owner or its fence last changed.
+    /// Version of the assignment in which the owner or the bounds last changed.
     pub since: Version,
 }
 
@@ -33,6 +36,8 @@
     /// Version of the assignment in which the holder last changed.
     pub since: Version,
     /// Pool of the target: the targets of one undivided service that one holder serves.
+    ///
+    /// It bears the name of its service, alone or followed by `/` and more.
     pub pool: Option<Name>,
 }
 
@@ -51,6 +56,12 @@
     pub ranges: BTreeMap<Name, Vec<KeyRange>>,
     /// Holder of each target.
     pub holdings: BTreeMap<Name, Holding>,
+    /// Runs of the instances that this version lets start over, after too many of the members had
+    /// lost their state; empty in an ordinary version.
+    ///
+    /// Such a version renews every `since` and raises every fence by two.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub reset: BTreeMap<Name, Incarnation>,
 }
 
 /// What was lost since an assignment was recorded; both sets only grow within one version.
@@ -114,6 +125,9 @@
 impl KeyRange {
     /// Returns the owner of this range given what was lost, or `None` while it has none.
     pub fn owner_given(&self, losses: &Losses) -> Option<Owner> {
+        if self.owner.is_empty() {
+            return None;
+        }
         if !losses.targets.contains(&self.owner) {
             return Some(Owner {
                 target: self.owner.clone(),
@@ -134,3 +148,19 @@
         })
     }
 }
+
+impl Assignment {
+    /// Returns this assignment as a reset: every range and holding is new, so that nothing that was
+    /// granted before counts, and the instances of `runs` start over.
+    pub fn start_over(mut self, runs: BTreeMap<Name, Incarnation>) -> Self {
+        for range in self.ranges.values_mut().flatten() {
+            range.since = self.version;
+            range.fence = range.fence.next().next();
+        }
+        for holding in self.holdings.values_mut() {
+            holding.since = self.version;
+        }
+        self.reset = runs;
+        self
+    }
+}
