--- a/crates/standins/tests/target.rs
+++ b/crates/standins/tests/target.rs
@@ -153,8 +153,10 @@
     pair().await;
     assert_eq!(target.record().breaches.len(), 0);
     let before = start(&target).await;
+    // Slow enough that the two surely are there at the same time, also on a busy machine.
     target.switch(&Faults {
         restart: true,
+        slow: Some(20.0),
         ..Faults::default()
     });
     assert_ne!(start(&target).await, before);
