--- a/crates/standins/src/cluster/files.rs
+++ b/crates/standins/src/cluster/files.rs
@@ -101,8 +101,7 @@
         joined(targets.iter().map(|target| &*target.name).collect()),
         "--data-centre".to_owned(),
         joined(
-            service
-                .targets
+            targets
                 .iter()
                 .map(|target| &*target.data_centre)
                 .collect(),
