feat(events): note moves, refusals, duplicates and outages where they happen

Cause: the time line lacked what operators look for: from owner to owner of a range, why a request was refused, that an order came again; TABLE_DOWN was noted at each poll and never its end. The gauges of callers are two handles. Limit: a cut-out range that is merged back is not noted.

--- a/crates/cowslipcross/src/entry/handler.rs
+++ b/crates/cowslipcross/src/entry/handler.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         config::Config,
+        events::{self, About},
         ring::Offer,
         route::job::{Job, JobTicket},
         work::Outcome,
@@ -68,7 +69,8 @@
 
 impl Progress {
     fn new(entry: Arc<Entry>, peer: Option<SocketAddr>) -> Self {
-        entry.active.fetch_add(1, Ordering::Relaxed);
+        let active = entry.active.fetch_add(1, Ordering::Relaxed);
+        entry.context.metrics.in_progress(active + 1);
         peer.inspect(|peer| entry.conns.begin(*peer));
         Self { entry, peer }
     }
@@ -77,7 +79,8 @@
 impl Drop for Progress {
     fn drop(&mut self) {
         self.peer.inspect(|peer| self.entry.conns.end(*peer));
-        self.entry.active.fetch_sub(1, Ordering::Relaxed);
+        let active = self.entry.active.fetch_sub(1, Ordering::Relaxed);
+        self.entry.context.metrics.in_progress(active - 1);
     }
 }
 
@@ -91,9 +94,29 @@
             Ok(job) => run(entry, job, arrived).await,
         },
     };
+    note(entry, &request, &outcome);
     answer::response(&entry.context, &request, outcome)
 }
 
+/// Notes why a request has no answer of a target.
+fn note(entry: &Entry, request: &Name, outcome: &Outcome) {
+    let Some(reason) = outcome.reason else { return };
+    let code = match reason {
+        Reason::BadRequest => {
+            entry.context.metrics.bad_request(outcome.status);
+            events::BAD_REQUEST
+        }
+        _ => events::REFUSED,
+    };
+    let about = About {
+        request: Some(request.clone()),
+        target: outcome.target.clone(),
+        detail: Some(format!("{}, {}", outcome.verdict, reason.as_str())),
+        ..About::default()
+    };
+    entry.context.events.note(code, about);
+}
+
 /// Returns an id that no other instance or run gives out.
 fn next_id(entry: &Entry) -> Name {
     let count = entry.count.fetch_add(1, Ordering::Relaxed);
--- a/crates/cowslipcross/src/entry/mod.rs
+++ b/crates/cowslipcross/src/entry/mod.rs
@@ -6,7 +6,12 @@
 mod handler;
 
 use {
-    crate::{context::Context, ring::Ring, route::job::JobTicket},
+    crate::{
+        context::Context,
+        events::{self, About},
+        ring::Ring,
+        route::job::JobTicket,
+    },
     conn::{Bounds, Conns, Guard},
     futures_util::future::ready,
     std::{
@@ -67,9 +72,17 @@
         bytes: limits.head_bytes as usize,
     };
     let most = limits.connections as usize;
-    let conns = entry.conns.clone();
+    let (conns, context) = (entry.conns.clone(), entry.context.clone());
     let wrap = move |stream| {
-        if conns.count() >= most {
+        let count = conns.count();
+        context.metrics.connections(count);
+        if count >= most {
+            let detail = Some(format!("{count} connections are open"));
+            let about = About {
+                detail,
+                ..About::default()
+            };
+            context.events.note(events::CONNECTION_REFUSED, about);
             return ready(Err(()));
         }
         ready(Guard::new(stream, bounds, conns.clone()).map_err(drop))
--- a/crates/cowslipcross/src/member/config.rs
+++ b/crates/cowslipcross/src/member/config.rs
@@ -102,7 +102,8 @@
         self.follow.busy = false;
         match outcome {
             Outcome::Current => {}
-            Outcome::Unreachable(why) => self.note(events::TABLE_DOWN, why),
+            // The platform duty notes outages; a peer that is gone has its own events.
+            Outcome::Unreachable(_) => {}
             Outcome::Refused(version, why) => {
                 self.note(events::CONFIG_REFUSED, format!("version {version}: {why}"));
             }
--- a/crates/cowslipcross/src/member/driver.rs
+++ b/crates/cowslipcross/src/member/driver.rs
@@ -1,7 +1,10 @@
 //! Drives the member machine.
 
 use {
-    super::{MemberEvent, Rings, beats::Beats, config::Follow, planner::Planner, steps::Unsent},
+    super::{
+        MemberEvent, Rings, beats::Beats, config::Follow, moves::Moves, planner::Planner,
+        steps::Unsent,
+    },
     crate::{
         context::Context,
         events::{self, About},
@@ -35,6 +38,8 @@
     pub(super) fetching: bool,
     /// State of the targets that this instance holds.
     pub(super) own_loads: BTreeMap<Name, Load>,
+    /// Owners of the ranges, for the events of moves.
+    pub(super) moves: Moves,
     /// When the status was published last.
     pub(super) published: Instant,
     timing: Timing,
@@ -77,6 +82,7 @@
             unsent: Unsent::default(),
             fetching: false,
             own_loads: BTreeMap::new(),
+            moves: Moves::default(),
             published: now,
             timing,
             last_tick: now,
--- a/crates/cowslipcross/src/member/mod.rs
+++ b/crates/cowslipcross/src/member/mod.rs
@@ -8,6 +8,7 @@
 mod driver;
 mod fetch;
 mod known;
+mod moves;
 mod planner;
 mod publish;
 mod steps;
--- a/crates/cowslipcross/src/member/steps.rs
+++ b/crates/cowslipcross/src/member/steps.rs
@@ -41,7 +41,11 @@
                 self.retry_unsent();
             }
             Step::Lease(lease) => self.lease(lease),
-            Step::View(view) => self.context.publish(view),
+            Step::View(view) => {
+                let context = &self.context;
+                self.moves.note(&context.events, &context.name, &view);
+                self.context.publish(view);
+            }
             Step::Lost(lost) => self.lost(lost),
         }
     }
--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -43,7 +43,8 @@
     lease: IntGauge,
     versions: IntGaugeVec,
     ring_items: IntGaugeVec,
-    callers: IntGaugeVec,
+    connections: IntGauge,
+    in_progress: IntGauge,
     calls: HistogramVec,
     call_ends: IntCounterVec,
 }
@@ -127,17 +128,18 @@
         self.ring_items.with_label_values(&[name]).set(items as i64);
     }
 
-    /// Sets the connections and the requests in progress of callers.
-    pub fn callers(&self, connections: usize, in_progress: usize) {
-        self.callers
-            .with_label_values(&["connections"])
-            .set(connections as i64);
-        self.callers
-            .with_label_values(&["in_progress"])
-            .set(in_progress as i64);
+    /// Sets the open connections of callers, when a new one comes.
+    pub fn connections(&self, count: usize) {
+        self.connections.set(count as i64);
     }
 
-    /// Counts a call of the platform; `end` is `ok`, `refused`, `not-sent` or `unknown`.
+    /// Sets the requests of callers in progress.
+    pub fn in_progress(&self, count: usize) {
+        self.in_progress.set(count as i64);
+    }
+
+    /// Counts a call of the platform; `end` is `ok`, `refused`, `rejected`,
+    /// `not-sent` or `unknown`.
     pub fn platform_call(&self, call: &str, end: &str, elapsed: Duration) {
         self.call_ends.with_label_values(&[call, end]).inc();
         self.calls
@@ -192,12 +194,12 @@
             lease: gauge(it, "lease_milliseconds", "What is left of the lease."),
             versions: gauges(it, "version", "Version in force.", &["of"]),
             ring_items: gauges(it, "ring_items", "Items that wait in a ring.", &["ring"]),
-            callers: gauges(
+            connections: gauge(
                 it,
-                "callers",
-                "Connections and requests of callers.",
-                &["what"],
+                "connections",
+                "Connections of callers when the last came.",
             ),
+            in_progress: gauge(it, "in_progress", "Requests of callers in progress."),
             calls: histograms(it, "platform_seconds", "Time of a call.", &["call"]),
             call_ends: counters(
                 it,
--- a/crates/cowslipcross/src/route/drive.rs
+++ b/crates/cowslipcross/src/route/drive.rs
@@ -48,6 +48,8 @@
         attempts += 1;
         let outcome = send(route, job, &place, attempts).await;
         if misplaced(&outcome) {
+            let detail = format!("at {}: {:?}", place.holder, outcome.reason);
+            note(route, job, events::WRONG_HOLDER, detail);
             match wait_for_place(route, job, outcome.reason.unwrap_or(Reason::NoOwner)).await {
                 Some(outcome) => return outcome,
                 None => continue,
@@ -57,6 +59,7 @@
         match next {
             Next::Answer => return outcome,
             Next::Again { at } => {
+                route.context.metrics.retried();
                 note(
                     route,
                     job,
@@ -152,6 +155,10 @@
         })),
     };
     if let Some(reason) = refused {
+        if reason == Reason::Overload {
+            let detail = format!("attempt {number} for {}", place.holder);
+            note(route, job, events::RING_FULL, detail);
+        }
         return Outcome::not_run(reason, Version(0));
     }
     match timeout_at(job.deadline + GRACE, end).await {
--- a/crates/cowslipcross/src/store/batch.rs
+++ b/crates/cowslipcross/src/store/batch.rs
@@ -1,6 +1,7 @@
 //! Group commit: many small writes of the journal in few transactions of the table.
 
 use {
+    super::watch::Watch,
     crate::{
         context::Context,
         ring::{Offer, Ring, ring},
@@ -38,9 +39,9 @@
 
 impl Batches {
     /// Starts the group commit on the runtime of the caller.
-    pub fn start(context: Arc<Context>, table: Table) -> Self {
+    pub fn start(context: &Context, watch: Arc<Watch>, table: Table) -> Self {
         let (items, taken) = ring(context.settings.limits.platform_ring as usize);
-        tokio::spawn(gather(table, taken));
+        tokio::spawn(gather(watch, table, taken));
         Self(items)
     }
 
@@ -55,7 +56,7 @@
 }
 
 /// Writes groups for ever; a group is what came in since the last one started.
-async fn gather(table: Table, mut items: mpsc::Receiver<Item>) {
+async fn gather(watch: Arc<Watch>, table: Table, mut items: mpsc::Receiver<Item>) {
     let room = Arc::new(Semaphore::new(UNDER_WAY));
     let mut next = Instant::now();
     let mut group = Vec::new();
@@ -69,20 +70,21 @@
             group.push(item);
         }
         next = Instant::now() + PACE;
-        let (table, full) = (table.clone(), std::mem::take(&mut group));
+        let (watch, table) = (watch.clone(), table.clone());
+        let full = std::mem::take(&mut group);
         tokio::spawn(async move {
-            commit(&table, full).await;
+            commit(&watch, &table, full).await;
             drop(permit);
         });
     }
 }
 
 /// Writes a group; items whose condition fails are taken out and the rest is written again.
-async fn commit(table: &Table, group: Vec<Item>) {
+async fn commit(watch: &Watch, table: &Table, group: Vec<Item>) {
     let (mut group, mut later) = split(group);
     while !group.is_empty() {
         let writes: Vec<Write> = group.iter().map(|item| item.write.clone()).collect();
-        match table.write(&writes).await {
+        match watch.table("journal", table.write(&writes)).await {
             Err(Error::Refused { items }) => group = take_refused(group, &items),
             outcome => {
                 settle(group, &outcome);
--- a/crates/cowslipcross/src/store/mod.rs
+++ b/crates/cowslipcross/src/store/mod.rs
@@ -3,14 +3,17 @@
 pub mod ask;
 mod batch;
 mod orders;
+mod watch;
 
 use {
     crate::context::Context,
     ask::Ask,
     batch::Batches,
     cowslip_platform::{instances::Instances, objects::Objects, table::Table},
+    cowslip_settings::process::platform::address,
     std::{sync::Arc, time::Duration},
     tokio::sync::mpsc,
+    watch::Watch,
 };
 
 /// Clients of the platform.
@@ -37,35 +40,38 @@
     }
 }
 
-/// Returns the `ip:port` of a URL that the settings have checked.
-fn address(url: &str) -> &str {
-    url.trim_start_matches("http://").trim_end_matches('/')
-}
-
 /// Carries out what the ring brings, until every sender has gone.
 pub async fn serve(context: Arc<Context>, mut asks: mpsc::Receiver<Ask>) {
     let clients = Clients::new(&context);
-    let batches = Batches::start(context.clone(), clients.table.clone());
+    let watch = Arc::new(Watch::new(context.clone()));
+    let batches = Batches::start(&context, watch.clone(), clients.table.clone());
     while let Some(ask) = asks.recv().await {
         let (context, clients, batches) = (context.clone(), clients.clone(), batches.clone());
-        tokio::spawn(async move { carry_out(&context, &clients, &batches, ask).await });
+        let watch = watch.clone();
+        tokio::spawn(async move { carry_out(&context, &watch, &clients, &batches, ask).await });
     }
 }
 
 /// Carries out one call; a receiver that has gone does not need its answer.
-async fn carry_out(context: &Context, clients: &Clients, batches: &Batches, ask: Ask) {
+async fn carry_out(
+    context: &Context,
+    watch: &Watch,
+    clients: &Clients,
+    batches: &Batches,
+    ask: Ask,
+) {
     match ask {
         Ask::Get { pk, sk, reply } => {
-            let _ = reply.send(clients.table.get(&pk, &sk).await);
+            let _ = reply.send(watch.table("get", clients.table.get(&pk, &sk)).await);
         }
         Ask::Write { writes, reply } => {
-            let _ = reply.send(clients.table.write(&writes).await);
+            let _ = reply.send(watch.table("write", clients.table.write(&writes)).await);
         }
         Ask::Object { key, reply } => {
-            let _ = reply.send(clients.objects.get(&key).await);
+            let _ = reply.send(watch.objects("object", clients.objects.get(&key)).await);
         }
         Ask::List { reply } => {
-            let _ = reply.send(clients.list.list().await);
+            let _ = reply.send(watch.measured("list", clients.list.list()).await);
         }
         Ask::Begin { order, reply } => {
             let _ = reply.send(orders::begin(context, &clients.table, batches, order).await);
--- a/crates/cowslipcross/src/store/orders.rs
+++ b/crates/cowslipcross/src/store/orders.rs
@@ -28,13 +28,22 @@
                 Ok(found) => order::judge(&order.row, found),
                 Err(_) => OrderStep::Refuse,
             },
-            OrderStep::Replace { version } => write(batches, &order, Some(version)).await,
+            OrderStep::Replace { version } => {
+                note(context, &order, events::ORDER_TAKEN_OVER);
+                write(batches, &order, Some(version)).await
+            }
             OrderStep::Send { version } => {
                 note(context, &order, events::ORDER_JOURNALLED);
                 return Begun::Send(version);
             }
-            OrderStep::Answer(end) => return Begun::Answer(end),
-            OrderStep::Duplicate => return Begun::Duplicate,
+            OrderStep::Answer(end) => {
+                note(context, &order, events::ORDER_DUPLICATE);
+                return Begun::Answer(end);
+            }
+            OrderStep::Duplicate => {
+                note(context, &order, events::ORDER_DUPLICATE);
+                return Begun::Duplicate;
+            }
             OrderStep::Mismatch => return Begun::Mismatch,
             OrderStep::Refuse => return Begun::Refused,
         };
--- a/crates/cowslipcross/tests/docs.rs
+++ b/crates/cowslipcross/tests/docs.rs
@@ -35,7 +35,6 @@
     metrics.loads(&BTreeMap::from([(name.clone(), Load::default())]));
     metrics.versions(Version(1), Version(1));
     metrics.ring("x", 1);
-    metrics.callers(1, 1);
     metrics.platform_call("x", "ok", some);
     let text = String::from_utf8(metrics.text()).expect("text");
     let lines = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
--- a/crates/cowslipcross/tests/operators.rs
+++ b/crates/cowslipcross/tests/operators.rs
@@ -205,7 +205,8 @@
     metrics.versions(Version(7), Version(3));
     metrics.platform_call("get", "ok", some);
     metrics.ring("hold", 12);
-    metrics.callers(4, 2);
+    metrics.connections(4);
+    metrics.in_progress(2);
     metrics.hedged();
     metrics.retried();
     metrics.shed("board-2");
@@ -226,8 +227,8 @@
         r#"platform_calls_total{call="get",end="ok"} 1"#,
         r#"platform_seconds_count{call="get"} 1"#,
         r#"ring_items{ring="hold"} 12"#,
-        r#"callers{what="connections"} 4"#,
-        r#"callers{what="in_progress"} 2"#,
+        "connections 4",
+        "in_progress 2",
         "hedges_total 1",
         "retries_total 1",
         r#"sheds_total{target="board-2"} 1"#,
