feat(events): say which holder gets an order's attempt and how the order ended

Cause: between "journalled" and "ended" the time line did not say where an order went, nor with which verdict it ended. Change: CC0513 for each attempt of an order; CC0507 and CC0512 carry verdict and status. Seen failing: the_page_lists_exactly_the_catalogue before the page had CC0513.

--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -184,6 +184,8 @@
     512 ORDER_END_UNRECORDED Warn None; "end of order {request} not recorded: {detail}";
         "The order ended but the table did not take its end; a repeat gets `duplicate`.";
         "See the page on refused orders.";
+    513 ORDER_ATTEMPT Debug None; "attempt {request} of an order given to holder {instance}: {detail}";
+        "The instance that took the order hands an attempt to the holder of its target."; "Nothing.";
     999 UNLISTED Error FREQUENT; "unlisted event: {detail}";
         "The program used a number that is not in this catalogue."; "Report it to the developers.";
 }
--- a/crates/cowslipcross/src/route/drive.rs
+++ b/crates/cowslipcross/src/route/drive.rs
@@ -10,7 +10,7 @@
         events::{self, About},
         peer::Remote,
         ring::Offer,
-        work::{Aim, Outcome, Ticket},
+        work::{Aim, Outcome, Ticket, Work},
     },
     cowslip_decide::{
         deliver::retry::{self, Ended, Next, Request},
@@ -145,6 +145,9 @@
 async fn send(route: &Route, job: &Job, place: &Place, number: u32) -> Outcome {
     let _outstanding = Outstanding::enter(route, &place.aim);
     let work = job.attempt(number, place.aim.clone());
+    if job.order.is_some() {
+        note_attempt(route, &work, place);
+    }
     let (reply, end) = oneshot::channel();
     let ticket = Ticket { work, reply };
     let refused = match place.holder == route.context.name {
@@ -211,6 +214,21 @@
     }
 }
 
+fn note_attempt(route: &Route, work: &Work, place: &Place) {
+    let (target, detail) = match &place.aim {
+        Aim::Owner { target, fence } => (Some(target.clone()), format!("fence {fence}")),
+        Aim::Pool(pool) => (None, format!("pool {pool}")),
+    };
+    let about = About {
+        request: Some(work.request.clone()),
+        key: work.key.clone(),
+        target,
+        instance: Some(place.holder.clone()),
+        detail: Some(detail),
+    };
+    route.context.events.note(events::ORDER_ATTEMPT, about);
+}
+
 fn note(route: &Route, job: &Job, code: events::Code, detail: String) {
     let about = About {
         request: Some(job.request.clone()),
--- a/crates/cowslipcross/src/store/orders.rs
+++ b/crates/cowslipcross/src/store/orders.rs
@@ -56,9 +56,10 @@
         end: Some(end),
         ..order.row.clone()
     };
+    let order = Order { row, ..order };
     let mut wait = END_WAIT;
     for _ in 0..END_TRIES {
-        let write = put(&order, &row, version + 1, Condition::Version(version));
+        let write = put(&order, &order.row, version + 1, Condition::Version(version));
         match batches.write(write).await {
             // A refusal after a lost answer says that the end is recorded already.
             Journalled::Written | Journalled::Refused => {
@@ -106,9 +107,13 @@
 }
 
 fn note(context: &Context, order: &Order, code: events::Code) {
+    let end = order.row.end.as_ref();
+    let end = end.map_or_else(String::new, |end| {
+        format!(", {}, status {}", end.verdict, end.status)
+    });
     let about = events::About {
         request: Some(order.row.run.clone()),
-        detail: Some(format!("order {}", order.id)),
+        detail: Some(format!("order {}{end}", order.id)),
         ..events::About::default()
     };
     context.events.note(code, about);
