--- a/crates/cowslipcross/src/member/config.rs
+++ b/crates/cowslipcross/src/member/config.rs
@@ -102,7 +102,7 @@
         self.follow.busy = false;
         match outcome {
             Outcome::Current => {}
-            // The platform duty notes outages; a peer that is gone has its own events.
+            // The platform duty has noted what does not answer.
             Outcome::Unreachable(_) => {}
             Outcome::Refused(version, why) => {
                 self.note(events::CONFIG_REFUSED, format!("version {version}: {why}"));
--- a/crates/cowslipcross/src/member/driver.rs
+++ b/crates/cowslipcross/src/member/driver.rs
@@ -14,6 +14,7 @@
         duty::{HoldReport, Load},
         member::{Member, Step, Timing},
         names::{Name, Version},
+        plan::Instance,
     },
     cowslip_wire::peer,
     std::{
@@ -36,6 +37,8 @@
     pub(super) unsent: Unsent,
     /// Whether a call for the assignment is under way.
     pub(super) fetching: bool,
+    /// What the other instances say of themselves.
+    pub(super) neighbours: BTreeMap<Name, Instance>,
     /// State of the targets that this instance holds.
     pub(super) own_loads: BTreeMap<Name, Load>,
     /// Owners of the ranges, for the events of moves.
@@ -81,6 +84,7 @@
             member,
             unsent: Unsent::default(),
             fetching: false,
+            neighbours: BTreeMap::new(),
             own_loads: BTreeMap::new(),
             moves: Moves::default(),
             published: now,
@@ -134,6 +138,11 @@
         reply: oneshot::Sender<Option<peer::Ack>>,
         now: Instant,
     ) {
+        let neighbour = Instance {
+            data_centre: beat.data_centre.as_str().into(),
+            leaving: beat.leaving,
+        };
+        self.neighbours.insert(beat.from.as_str().into(), neighbour);
         let mut ack = None;
         let mut rest = Vec::new();
         for step in self.member.hear(now, beat.into()) {
--- a/crates/cowslipcross/tests/watch.rs
+++ b/crates/cowslipcross/tests/store.rs
@@ -67,7 +67,7 @@
         .collect();
     assert_eq!(codes, ["CC0301", "CC0302", "CC0301"]);
     let text = String::from_utf8(context.metrics.text()).expect("text");
-    let line = |end: &str| format!("platform_calls_total{{call=\"get\",end=\"{end}\"}} ");
+    let line = |end: &str| format!("platform_calls_total{{call=\"table\",end=\"{end}\"}} ");
     assert!(text.contains(&(line("ok") + "3")), "{text}");
     assert!(
         text.contains(&line("unknown")) || text.contains(&line("not-sent")),
