--- a/crates/cowslipcross/src/entry/handler.rs
+++ b/crates/cowslipcross/src/entry/handler.rs
@@ -69,7 +69,8 @@
 
 impl Progress {
     fn new(entry: Arc<Entry>, peer: Option<SocketAddr>) -> Self {
-        entry.active.fetch_add(1, Ordering::Relaxed);
+        let active = entry.active.fetch_add(1, Ordering::Relaxed);
+        entry.context.metrics.in_progress(active + 1);
         peer.inspect(|peer| entry.conns.begin(*peer));
         Self { entry, peer }
     }
@@ -78,7 +79,8 @@
 impl Drop for Progress {
     fn drop(&mut self) {
         self.peer.inspect(|peer| self.entry.conns.end(*peer));
-        self.entry.active.fetch_sub(1, Ordering::Relaxed);
+        let active = self.entry.active.fetch_sub(1, Ordering::Relaxed);
+        self.entry.context.metrics.in_progress(active - 1);
     }
 }
 
@@ -86,15 +88,37 @@
     let arrived = Instant::now();
     let request = next_id(entry);
     let outcome = match admit(entry) {
-        Err(outcome) => outcome,
+        Err(outcome) => noted(entry, &request, outcome),
         Ok(config) => match job(entry, &config, request.clone(), arrived, state).await {
             Err(bad) => refuse(entry, &request, &bad),
-            Ok(job) => run(entry, job, arrived).await,
+            Ok(job) => noted(entry, &request, run(entry, job, arrived).await),
         },
     };
     answer::response(&entry.context, &request, outcome)
 }
 
+/// Notes why a request that was valid in itself has no answer of a target.
+fn noted(entry: &Entry, request: &Name, outcome: Outcome) -> Outcome {
+    let Some(reason) = outcome.reason else {
+        return outcome;
+    };
+    let code = match reason {
+        Reason::BadRequest => {
+            entry.context.metrics.bad_request(outcome.status);
+            events::BAD_REQUEST
+        }
+        _ => events::REFUSED,
+    };
+    let about = About {
+        request: Some(request.clone()),
+        target: outcome.target.clone(),
+        detail: Some(format!("{}, {}", outcome.verdict, reason.as_str())),
+        ..About::default()
+    };
+    entry.context.events.note(code, about);
+    outcome
+}
+
 /// Counts and answers a request that is not valid.
 fn refuse(entry: &Entry, request: &Name, bad: &BadRequest) -> Outcome {
     let context = &entry.context;
