fix(member): count answers at one's own version only when syncing

Cause: rules::a_promise_outlives_leaving_and_joining showed a member that left and came back syncing from heartbeats of before it left: what the others had agreed on without it in between was not in them. Change: only answers at the version that this instance is at count. Single rules that 30 random histories hit too seldom are tested one by one in tests/rules, through the public inputs of the machine.

--- a/crates/decide/src/member/loss.rs
+++ b/crates/decide/src/member/loss.rs
@@ -1,7 +1,7 @@
 //! Losses of instances, by a majority's word, and of targets, by their holder's.
 
 use {
-    super::{Heartbeat, Lost, Member, Step, carry, majority},
+    super::{Heartbeat, Lost, Member, Step, majority},
     crate::{
         assign::{Assignment, Losses},
         names::Name,
@@ -159,18 +159,9 @@
 
     /// Takes over the losses and doubts of synced members, as one that has forgotten its own.
     pub(super) fn inherit(&mut self, now: Instant, beats: &[Heartbeat]) {
-        let Some(assignment) = self.assignment.clone() else {
-            return;
-        };
         for beat in beats {
-            let losses = carry::losses(&assignment, &beat.losses, beat.version);
-            self.merge(now, &losses);
-            let doubts = Losses {
-                instances: beat.doubts.clone(),
-                ..Losses::default()
-            };
-            let doubts = carry::losses(&assignment, &doubts, beat.version);
-            self.doubts.extend(doubts.instances);
+            self.merge(now, &beat.losses);
+            self.doubts.extend(beat.doubts.iter().cloned());
         }
     }
 }
--- a/crates/decide/src/member/sync.rs
+++ b/crates/decide/src/member/sync.rs
@@ -31,16 +31,13 @@
     }
 
     /// Returns the heartbeats of synced members that knew of this run when they sent them.
+    ///
+    /// Answers from earlier versions do not count: what is agreed there later may be agreed
+    /// without this instance, if it became a member at this version only.
     fn answers(&self) -> Vec<Heartbeat> {
-        let Some(assignment) = &self.assignment else {
-            return Vec::new();
-        };
-        let members = assignment.members.iter();
-        let beats = members.filter_map(|name| self.peers.get(name)?.synced());
-        let answers = beats.filter(|beat| {
-            beat.seen.get(&self.me) == Some(&self.incarnation) && beat.version <= assignment.version
-        });
-        answers.cloned().collect()
+        let knows = |beat: &&Heartbeat| beat.seen.get(&self.me) == Some(&self.incarnation);
+        let beats = self.peers_at_version().map(|(_, beat)| beat);
+        beats.filter(knows).cloned().collect()
     }
 
     /// Returns whether a promise is left to an instance that would be doubted from now on.
--- a/crates/decide/tests/ownership.rs
+++ b/crates/decide/tests/ownership.rs
@@ -1,5 +1,6 @@
 //! One owner a key and one sender a target, under faults of every kind and in any mix.
 
+mod rules;
 mod world;
 
 use {
@@ -110,7 +111,10 @@
         world.cuts.extend([(0, 1), (1, 0)]);
         let outage = world.outage(3 * SECOND);
         assert_eq!(outage, 0, "seed {seed}");
-        let lost = |node: &Node| !node.member.lost().instances.is_empty();
-        assert!(!world.nodes.iter().any(lost), "seed {seed}");
+        let doubts = |node: &Node| node.member.status(node.clock.at(world.time)).doubts;
+        assert!(
+            world.nodes.iter().all(|node| doubts(node).is_empty()),
+            "seed {seed}"
+        );
     }
 }
