--- a/crates/decide/src/assign.rs
+++ b/crates/decide/src/assign.rs
@@ -13,7 +13,7 @@
 pub struct KeyRange {
     /// First hash of the range.
     pub start: u64,
-    /// Target that owns the range.
+    /// Target that owns the range; an empty name if nobody does.
     pub owner: Name,
     /// Target that owns the range, with the next higher fence, once the owner is lost.
     pub standby: Option<Name>,
@@ -127,6 +127,9 @@
 impl KeyRange {
     /// Returns the owner of this range given what was lost, or `None` while it has none.
     pub fn owner_given(&self, losses: &Losses) -> Option<Owner> {
+        if self.owner.is_empty() {
+            return None;
+        }
         if !losses.targets.contains(&self.owner) {
             return Some(Owner {
                 target: self.owner.clone(),
@@ -147,3 +150,19 @@
         })
     }
 }
+
+impl Assignment {
+    /// Returns this assignment as a reset: every range and holding is new, so that nothing that was
+    /// granted before counts, and the instances of `runs` start over.
+    pub fn start_over(mut self, runs: BTreeMap<Name, Incarnation>) -> Self {
+        for range in self.ranges.values_mut().flatten() {
+            range.since = self.version;
+            range.fence = range.fence.next().next();
+        }
+        for holding in self.holdings.values_mut() {
+            holding.since = self.version;
+        }
+        self.reset = runs;
+        self
+    }
+}
