fix(hold): report the load of a target only while it answers

Cause: the planner takes every listed load for a target that answers. A silent target stayed listed, by its holder and by holders that are themselves gone, so that once its loss was recorded (which clears the losses) it looked able to own ranges, would get its ranges back, fall silent, and be lost again. Found by reading the driver against the contract of PlanInput::loads. Ruled out: leaving it to the list of silent targets, which a holder fills only for targets that own ranges. Change: a holder lists what it holds and has heard since it took it on, until it is silent; a member leaves out the loads of holders that it has not heard lately.

--- a/crates/cowslipcross/src/hold/site.rs
+++ b/crates/cowslipcross/src/hold/site.rs
@@ -87,6 +87,8 @@
     pub leaving: Option<Instant>,
     /// Whether its silence was noted as an event.
     pub silent: bool,
+    /// Whether it has answered since it was taken on, and is not silent.
+    pub answers: bool,
 }
 
 impl Listing {
@@ -172,6 +174,7 @@
             hottest: Hottest::default(),
             leaving: None,
             silent: false,
+            answers: false,
         }
     }
 
--- a/crates/cowslipcross/src/hold/sites.rs
+++ b/crates/cowslipcross/src/hold/sites.rs
@@ -344,6 +344,7 @@
         };
         site.heard = now;
         site.silent = false;
+        site.answers = true;
         site.proof = site.proof.max(begun);
         let after_break = site.broke.is_none_or(|broke| begun > broke);
         let start = signs.start.as_deref();
--- a/crates/cowslipcross/src/hold/watch.rs
+++ b/crates/cowslipcross/src/hold/watch.rs
@@ -118,6 +118,7 @@
             target: name.clone(),
         };
         let _ = self.context.reports.try_send(report);
+        site.answers = false;
         if site.silent {
             return;
         }
@@ -205,7 +206,12 @@
 
     fn report_loads(&mut self, now: Instant) {
         let mut loads = std::collections::BTreeMap::new();
-        for (name, site) in &self.sites {
+        // The planner gives ranges to whatever is listed: a target that is silent must not be.
+        for (name, site) in self
+            .sites
+            .iter()
+            .filter(|(_, site)| site.duty.is_some() && site.answers)
+        {
             let Some(lane) = self.lanes.get(&site.lane) else {
                 continue;
             };
--- a/crates/cowslipcross/src/member/planner.rs
+++ b/crates/cowslipcross/src/member/planner.rs
@@ -287,7 +287,7 @@
             _ => lost.then_some((version, now)),
         };
         self.planner.lost_since = since;
-        let loads = self.member.loads();
+        let loads = self.member.loads(now);
         let loads: BTreeMap<Name, Load> = loads
             .into_iter()
             .map(|(name, load)| (name.clone(), load.clone()))
@@ -305,7 +305,7 @@
             instances: self.instances(now),
             loads,
             rates: self.planner.rates.known(now),
-            leaving: self.leaving(),
+            leaving: self.leaving(now),
             returning,
             settled: self.member.floor() >= version,
             reset: self
@@ -336,13 +336,13 @@
     }
 
     /// Returns the targets that leave, by the platform's list or by their own word.
-    fn leaving(&self) -> BTreeSet<Name> {
+    fn leaving(&self, now: Instant) -> BTreeSet<Name> {
         let listed = self
             .planner
             .list
             .iter()
             .filter(|entry| entry.kind == Kind::Target && entry.state == State::Leaving);
-        let loads = self.member.loads();
+        let loads = self.member.loads(now);
         let said = loads
             .iter()
             .filter(|(_, load)| load.leaving)
--- a/crates/cowslipcross/tests/hold.rs
+++ b/crates/cowslipcross/tests/hold.rs
@@ -322,11 +322,21 @@
     )
     .await;
     bench.settled(1).await;
+    let listed = |wanted: bool| {
+        move |report| match report {
+            HoldReport::Loads(loads) => (loads.contains_key("t0") == wanted).then_some(()),
+            _ => None,
+        }
+    };
+    bench.report(listed(true)).await;
     fake.record().frozen = true;
     let silent = |report| matches!(report, HoldReport::Silent { .. }).then_some(());
     bench.report(silent).await;
     bench.report(silent).await;
+    // A silent target would get new ranges if its load were reported.
+    bench.report(listed(false)).await;
     fake.record().frozen = false;
+    bench.report(listed(true)).await;
     let work = bench.owned("after");
     assert_eq!(bench.end(work).await.verdict, Verdict::Ran);
 }
--- a/crates/decide/src/member/query.rs
+++ b/crates/decide/src/member/query.rs
@@ -101,9 +101,13 @@
             .collect()
     }
 
-    /// Returns the state of each target, as its holder told it last.
-    pub fn loads(&self) -> BTreeMap<&Name, &Load> {
-        let others = self.peers.values().flat_map(|peer| &peer.loads);
+    /// Returns the state of each target, as a holder that was heard lately told it last.
+    pub fn loads(&self, now: Instant) -> BTreeMap<&Name, &Load> {
+        let there = self
+            .peers
+            .iter()
+            .filter(|(name, _)| self.is_there(now, name));
+        let others = there.flat_map(|(_, peer)| &peer.loads);
         others.chain(&self.loads).collect()
     }
 
