fix(hold): count a grant until it has run out, also when its target seems restarted

An answer without a start id after a broken connection is taken for a restart, which dropped the confirmed grant from what the target may have; the duties then counted as settled although the target still served under it. Ruled out: the stand-in's record (ends at the earlier of lapse and replacement), the member machine's book of duties, late grants (kept as doubtful until they run out). Change: the grant becomes doubtful instead. A target that the document no longer lists is released instead of keeping its old duty.

--- a/crates/cowslipcross/src/hold/grants.rs
+++ b/crates/cowslipcross/src/hold/grants.rs
@@ -1,5 +1,9 @@
 //! Grants that a target has or may have, and when the next one is posted.
 
+#[cfg(test)]
+#[path = "grants_tests.rs"]
+mod tests;
+
 use {
     super::{
         codes,
@@ -57,10 +61,12 @@
         self.due = self.due.min(self.received);
     }
 
-    /// Forgets the stamp of a run of the target that is over.
+    /// Forgets the stamp of a run of the target that seems to be over.
+    ///
+    /// It may only seem so: what the target had been granted counts until it has run out.
     pub fn restart(&mut self) {
         self.stamp = 0;
-        self.confirmed = None;
+        self.doubtful.extend(self.confirmed.take());
         self.hurry();
     }
 
--- a/crates/cowslipcross/src/hold/sites.rs
+++ b/crates/cowslipcross/src/hold/sites.rs
@@ -74,8 +74,12 @@
     /// Stops all new work for targets that are not held any more.
     fn release_rest(&mut self) {
         let held = &self.duties.held;
+        let listed = |name: &str| {
+            let document = self.document.as_ref();
+            document.is_some_and(|document| Listing::find(document, name).is_some())
+        };
         for (name, site) in &mut self.sites {
-            if held.contains_key(name) {
+            if held.contains_key(name) && listed(name) {
                 continue;
             }
             site.duty = None;
