fix(entry): count the bytes and the time of each head from its own start

A kept connection was answered 431 or 408 once the heads of all its requests together had passed 16 KB, or 2 s after its first: the count was reset only when bytes came while an answer was under way, which callers that wait do not send. The count now starts anew when an answer is flushed. Ruled out: slow callers; the load tool writes each head at once.

--- a/crates/cowslipcross/src/entry/conn.rs
+++ b/crates/cowslipcross/src/entry/conn.rs
@@ -227,6 +227,8 @@
         if flushed.is_ready() && self.phase.load(Ordering::Relaxed) == ANSWERING {
             self.phase.store(READING, Ordering::Relaxed);
             self.last = Instant::now();
+            self.first = None;
+            self.seen = 0;
         }
         flushed
     }
