--- a/crates/standins/src/cluster/files.rs
+++ b/crates/standins/src/cluster/files.rs
@@ -100,12 +100,7 @@
         "--names".to_owned(),
         joined(targets.iter().map(|target| &*target.name).collect()),
         "--data-centre".to_owned(),
-        joined(
-            targets
-                .iter()
-                .map(|target| &*target.data_centre)
-                .collect(),
-        ),
+        joined(targets.iter().map(|target| &*target.data_centre).collect()),
         format!("--service={}", service.name),
         format!("--threads={}", layout.threads),
         format!("--slots={}", first.slots),
--- a/crates/standins/tests/history.rs
+++ b/crates/standins/tests/history.rs
@@ -5,7 +5,7 @@
 use {
     cowslip_decide::verdict::Verdict,
     cowslip_standins::{
-        caller::{Plan, Tally, kinds, start},
+        caller::{Plan, Sent, Tally, kinds, start},
         clock::micros,
         cluster::{Cluster, Layout},
         measures::{Evidence, Withdrawal, check},
@@ -108,7 +108,9 @@
         });
         let shown: Vec<_> = broken.iter().map(|broken| broken.to_string()).collect();
         assert!(broken.is_empty(), "{shown:#?}");
-        let ran = |sent: &&cowslip_standins::caller::Sent| sent.verdict == Some(Verdict::Ran);
+        let bad = |sent: &&Sent| sent.reason.as_deref() == Some("bad-request");
+        assert_eq!(tally.history.iter().find(bad), None);
+        let ran = |sent: &&Sent| sent.verdict == Some(Verdict::Ran);
         assert!(tally.history.iter().filter(ran).count() > 0);
     }
 
@@ -137,6 +139,18 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
+#[test]
+fn connection_stays_good_beyond_the_bounds_of_one_head() {
+    let mut world = World::start();
+    world
+        .plan
+        .kinds
+        .retain(|kind| kind.service == "registry" && kind.repeatable);
+    world.plan.entries.truncate(1);
+    world.plan.rate = 200.0;
+    world.run(|_| {});
+}
+
 #[test]
 fn killed_instance_and_target() {
     let mut world = World::start();
