--- a/crates/cowslipcross/src/store/mod.rs
+++ b/crates/cowslipcross/src/store/mod.rs
@@ -15,6 +15,7 @@
         objects::Objects,
         table::{Row, Table, Write},
     },
+    cowslip_settings::process::platform::address,
     health::Health,
     std::{sync::Arc, time::Duration},
     tokio::sync::mpsc,
@@ -83,11 +84,6 @@
     }
 }
 
-/// Returns the `ip:port` of a URL that the settings have checked.
-fn address(url: &str) -> &str {
-    url.trim_start_matches("http://").trim_end_matches('/')
-}
-
 /// Carries out what the ring brings, until every sender has gone.
 pub async fn serve(context: Arc<Context>, mut asks: mpsc::Receiver<Ask>) {
     let clients = Clients::new(&context);
