fix(standins): report an open grant as held until now only

The overlap of held ranges that one demo run reported (board-01 and board-16) was an artefact: records are fetched one after the other, and a grant still open in the first one was reported until its planned end although it was taken back before. Ruled out: a move that did not wait; the later target was granted after the earlier one had been taken back.

The grant test fails without this change.

--- a/crates/standins/src/target/mod.rs
+++ b/crates/standins/src/target/mod.rs
@@ -12,7 +12,7 @@
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     options::{Faults, Options},
-    record::Record,
+    record::{Held, Record},
     state::State,
     std::{
         io,
@@ -139,7 +139,13 @@
     fn record(&self) -> Record {
         let state = self.lock();
         let mut record = state.writer.record.clone();
-        record.held.extend(state.grants.now().iter().cloned());
+        let now = micros();
+        // A grant may be taken back before it runs out, so it is known to be held until now only.
+        let open = state.grants.now().iter().cloned();
+        record.held.extend(open.map(|held| Held {
+            until: held.until.min(now),
+            ..held
+        }));
         record
     }
 
--- a/crates/standins/tests/target.rs
+++ b/crates/standins/tests/target.rs
@@ -3,6 +3,7 @@
 use {
     cowslip_standins::{
         client::{get, post, request, send},
+        clock::micros,
         target::{
             Target,
             grants::{Grants, Post, Range},
@@ -73,6 +74,7 @@
     assert_eq!(order(&target, "b", "3").await.1.as_deref(), NOT_RUN);
     let stamp = answer["stamp"].as_u64().unwrap();
     assert_eq!(grant(&target, stamp, 3).await.0, 200);
+    assert!(target.record().held[0].until <= micros());
     let (status, _, body) = order(&target, "c", "3").await;
     assert_eq!((status, body.as_str()), (200, "t1 k7\nbody c"));
     assert_eq!(order(&target, "d", "2").await.1.as_deref(), NOT_RUN);
