--- a/crates/cowslipcross/src/entry/handler.rs
+++ b/crates/cowslipcross/src/entry/handler.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         config::Config,
+        events::{self, About},
         ring::Offer,
         route::job::{Job, JobTicket},
         work::Outcome,
@@ -68,7 +69,8 @@
 
 impl Progress {
     fn new(entry: Arc<Entry>, peer: Option<SocketAddr>) -> Self {
-        entry.active.fetch_add(1, Ordering::Relaxed);
+        let active = entry.active.fetch_add(1, Ordering::Relaxed);
+        entry.context.metrics.in_progress(active + 1);
         peer.inspect(|peer| entry.conns.begin(*peer));
         Self { entry, peer }
     }
@@ -77,7 +79,8 @@
 impl Drop for Progress {
     fn drop(&mut self) {
         self.peer.inspect(|peer| self.entry.conns.end(*peer));
-        self.entry.active.fetch_sub(1, Ordering::Relaxed);
+        let active = self.entry.active.fetch_sub(1, Ordering::Relaxed);
+        self.entry.context.metrics.in_progress(active - 1);
     }
 }
 
@@ -85,15 +88,50 @@
     let arrived = Instant::now();
     let request = next_id(entry);
     let outcome = match admit(entry) {
-        Err(outcome) => outcome,
+        Err(outcome) => noted(entry, &request, outcome),
         Ok(config) => match job(entry, &config, request.clone(), arrived, state).await {
-            Err(bad) => answer::bad(&bad),
-            Ok(job) => run(entry, job, arrived).await,
+            Err(bad) => refuse(entry, &request, &bad),
+            Ok(job) => noted(entry, &request, run(entry, job, arrived).await),
         },
     };
     answer::response(&entry.context, &request, outcome)
 }
 
+/// Notes why a request that was valid in itself has no answer of a target.
+fn noted(entry: &Entry, request: &Name, outcome: Outcome) -> Outcome {
+    let Some(reason) = outcome.reason else {
+        return outcome;
+    };
+    let code = match reason {
+        Reason::BadRequest => {
+            entry.context.metrics.bad_request(outcome.status);
+            events::BAD_REQUEST
+        }
+        _ => events::REFUSED,
+    };
+    let about = About {
+        request: Some(request.clone()),
+        target: outcome.target.clone(),
+        detail: Some(format!("{}, {}", outcome.verdict, reason.as_str())),
+        ..About::default()
+    };
+    entry.context.events.note(code, about);
+    outcome
+}
+
+/// Counts and answers a request that is not valid.
+fn refuse(entry: &Entry, request: &Name, bad: &BadRequest) -> Outcome {
+    let context = &entry.context;
+    context.metrics.bad_request(bad.status().as_u16());
+    let about = About {
+        request: Some(request.clone()),
+        detail: Some(bad.to_string()),
+        ..About::default()
+    };
+    context.events.note(events::BAD_REQUEST, about);
+    answer::bad(bad)
+}
+
 /// Returns an id that no other instance or run gives out.
 fn next_id(entry: &Entry) -> Name {
     let count = entry.count.fetch_add(1, Ordering::Relaxed);
@@ -104,9 +142,6 @@
 /// Refuses what cannot be taken on now.
 fn admit(entry: &Entry) -> std::result::Result<Arc<Config>, Outcome> {
     let context = &entry.context;
-    if context.stopping.load(Ordering::Relaxed) {
-        return Err(answer::refusal(Reason::Stopping, Duration::ZERO));
-    }
     if entry.active.load(Ordering::Relaxed) > context.settings.limits.in_progress as usize {
         return Err(answer::refusal(Reason::Overload, answer::BUSY_WAIT));
     }
--- a/crates/cowslipcross/src/hold/site.rs
+++ b/crates/cowslipcross/src/hold/site.rs
@@ -89,6 +89,8 @@
     pub silent: bool,
     /// Whether it bore all its slots at the last check.
     pub warm: bool,
+    /// Whether it has answered since it was taken on, and is not silent.
+    pub answers: bool,
 }
 
 impl Listing {
@@ -175,6 +177,7 @@
             leaving: None,
             silent: false,
             warm: false,
+            answers: false,
         }
     }
 
--- a/crates/cowslipcross/src/member/driver.rs
+++ b/crates/cowslipcross/src/member/driver.rs
@@ -1,7 +1,10 @@
 //! Drives the member machine.
 
 use {
-    super::{MemberEvent, Rings, beats::Beats, config::Follow, planner::Planner, steps::Unsent},
+    super::{
+        MemberEvent, Rings, beats::Beats, config::Follow, moves::Moves, planner::Planner,
+        steps::Unsent,
+    },
     crate::{
         context::Context,
         events::{self, About},
@@ -11,6 +14,7 @@
         duty::{HoldReport, Load},
         member::{Member, Step, Timing},
         names::{Name, Version},
+        plan::Instance,
     },
     cowslip_wire::peer,
     std::{
@@ -33,8 +37,12 @@
     pub(super) unsent: Unsent,
     /// Whether a call for the assignment is under way.
     pub(super) fetching: bool,
+    /// What the other instances say of themselves.
+    pub(super) neighbours: BTreeMap<Name, Instance>,
     /// State of the targets that this instance holds.
     pub(super) own_loads: BTreeMap<Name, Load>,
+    /// Owners of the ranges, for the events of moves.
+    pub(super) moves: Moves,
     /// When the status was published last.
     pub(super) published: Instant,
     timing: Timing,
@@ -76,7 +84,9 @@
             member,
             unsent: Unsent::default(),
             fetching: false,
+            neighbours: BTreeMap::new(),
             own_loads: BTreeMap::new(),
+            moves: Moves::default(),
             published: now,
             timing,
             last_tick: now,
@@ -128,6 +138,11 @@
         reply: oneshot::Sender<Option<peer::Ack>>,
         now: Instant,
     ) {
+        let neighbour = Instance {
+            data_centre: beat.data_centre.as_str().into(),
+            leaving: beat.leaving,
+        };
+        self.neighbours.insert(beat.from.as_str().into(), neighbour);
         let mut ack = None;
         let mut rest = Vec::new();
         for step in self.member.hear(now, beat.into()) {
--- a/crates/cowslipcross/src/member/planner.rs
+++ b/crates/cowslipcross/src/member/planner.rs
@@ -29,7 +29,7 @@
     cowslip_settings::topology,
     std::{
         collections::{BTreeMap, BTreeSet},
-        sync::Arc,
+        sync::{Arc, atomic::Ordering},
         time::Duration,
     },
     tokio::time::Instant,
@@ -140,6 +140,14 @@
             }
             Outcome::Read(found) => self.read_assignment(found, now),
             Outcome::Recorded(assignment) => {
+                // What a target served before a move says nothing of its share afterwards.
+                if self
+                    .member
+                    .assignment()
+                    .is_none_or(|it| it.ranges != assignment.ranges)
+                {
+                    self.planner.rates.forget();
+                }
                 let about = About {
                     detail: Some(format!("version {}", assignment.version)),
                     ..About::default()
@@ -173,8 +181,11 @@
         now: Instant,
         step: impl FnOnce(&mut Elect, Standing) -> elect::Step,
     ) -> elect::Step {
-        // Before the first assignment, and while a reset is needed, nobody can have a lease.
-        let leased = self.member.has_lease(now) || self.member.reset_needed(now);
+        // While all are lost, or a reset is needed, nobody can have a lease; the epoch keeps
+        // planners apart.
+        let leased = self.member.has_lease(now)
+            || self.member.sees_majority()
+            || self.member.reset_needed(now);
         let standing = Standing {
             leased,
             lost: &self.member.lost().instances,
@@ -243,7 +254,7 @@
         let replaces = Some(known.current.version).filter(|version| *version > Version(0));
         match plan::next(&input) {
             PlanStep::Record(next) => self.record(epoch, replaces, known.finish(next)),
-            _ if known.reset.is_some() => {
+            _ if known.renews() => {
                 let next = Assignment {
                     version: known.current.version.next(),
                     epoch,
@@ -262,7 +273,13 @@
 
     /// Gathers what the planner knows.
     fn known(&mut self, now: Instant) -> Known {
-        let losses = self.member.lost().clone();
+        let mut losses = self.member.lost().clone();
+        let mut returning = BTreeSet::new();
+        if self.member.alive(now).is_empty() {
+            // Nobody can hold anything at this version: those that are there start anew.
+            returning = self.member.returning(now);
+            losses.instances.retain(|name| !returning.contains(name));
+        }
         let version = self.member.version();
         let lost = losses != Losses::default();
         let since = match self.planner.lost_since {
@@ -270,7 +287,7 @@
             _ => lost.then_some((version, now)),
         };
         self.planner.lost_since = since;
-        let loads = self.member.loads();
+        let loads = self.member.loads(now);
         let loads: BTreeMap<Name, Load> = loads
             .into_iter()
             .map(|(name, load)| (name.clone(), load.clone()))
@@ -288,7 +305,8 @@
             instances: self.instances(now),
             loads,
             rates: self.planner.rates.known(now),
-            leaving: self.leaving(),
+            leaving: self.leaving(now),
+            returning,
             settled: self.member.floor() >= version,
             reset: self
                 .member
@@ -297,34 +315,35 @@
         }
     }
 
-    /// Returns the instances that were heard lately, with what the platform's list says of them.
+    /// Returns the instances that were heard lately, with what they say of themselves.
     fn instances(&self, now: Instant) -> BTreeMap<Name, Instance> {
         let runs = self.member.incarnations(now);
-        let listed = |name: &Name| {
-            let mut entries = self.planner.list.iter();
-            entries.find(|entry| entry.kind == Kind::Instance && entry.name == *name)
-        };
-        let instance = |name: &Name| {
-            let entry = listed(name);
-            let own = &self.context.settings.data_centre;
-            Instance {
-                data_centre: entry.map_or_else(|| own.clone(), |entry| entry.data_centre.clone()),
-                leaving: entry.is_some_and(|entry| entry.state == State::Leaving),
-            }
-        };
         runs.keys()
-            .map(|name| (name.clone(), instance(name)))
+            .map(|name| (name.clone(), self.instance(name)))
             .collect()
     }
 
+    fn instance(&self, name: &Name) -> Instance {
+        let own = || Instance {
+            data_centre: self.context.settings.data_centre.clone(),
+            leaving: self.context.stopping.load(Ordering::Relaxed),
+        };
+        let mut instance = self.neighbours.get(name).cloned().unwrap_or_else(own);
+        let mut listed = self.planner.list.iter();
+        instance.leaving |= listed.any(|entry| {
+            entry.kind == Kind::Instance && entry.name == *name && entry.state == State::Leaving
+        });
+        instance
+    }
+
     /// Returns the targets that leave, by the platform's list or by their own word.
-    fn leaving(&self) -> BTreeSet<Name> {
+    fn leaving(&self, now: Instant) -> BTreeSet<Name> {
         let listed = self
             .planner
             .list
             .iter()
             .filter(|entry| entry.kind == Kind::Target && entry.state == State::Leaving);
-        let loads = self.member.loads();
+        let loads = self.member.loads(now);
         let said = loads
             .iter()
             .filter(|(_, load)| load.leaving)
@@ -351,9 +370,9 @@
 
     fn listed(&mut self, list: Option<Vec<Entry>>) {
         self.planner.list_busy = false;
-        match list {
-            Some(list) => self.planner.list = list,
-            None => self.note(events::LIST_DOWN, "no answer".to_owned()),
+        // Without an answer the last list stays in use.
+        if let Some(list) = list {
+            self.planner.list = list;
         }
     }
 
--- a/crates/cowslipcross/tests/hold.rs
+++ b/crates/cowslipcross/tests/hold.rs
@@ -141,11 +141,16 @@
     )
     .await;
     bench.settled(1).await;
-    let work = bench.owned("slow-sleep200");
+    let work = bench.owned("slow-sleep400");
     let slow = bench.send(work).await;
     until(|| fake.record().running == 1).await;
     let work = bench.owned("waits");
     let waits = bench.send(work).await;
+    let queued = |report| match report {
+        HoldReport::Loads(loads) => (loads.get("t0")?.queued == 1).then_some(()),
+        _ => None,
+    };
+    bench.report(queued).await;
     let seq = bench.hold(BTreeMap::new()).await;
     let outcome = ended(waits).await;
     assert_eq!(
@@ -324,11 +329,21 @@
     )
     .await;
     bench.settled(1).await;
+    let listed = |wanted: bool| {
+        move |report| match report {
+            HoldReport::Loads(loads) => (loads.contains_key("t0") == wanted).then_some(()),
+            _ => None,
+        }
+    };
+    bench.report(listed(true)).await;
     fake.record().frozen = true;
     let silent = |report| matches!(report, HoldReport::Silent { .. }).then_some(());
     bench.report(silent).await;
     bench.report(silent).await;
+    // A silent target would get new ranges if its load were reported.
+    bench.report(listed(false)).await;
     fake.record().frozen = false;
+    bench.report(listed(true)).await;
     let work = bench.owned("after");
     assert_eq!(bench.end(work).await.verdict, Verdict::Ran);
 }
--- a/crates/decide/src/member/sync.rs
+++ b/crates/decide/src/member/sync.rs
@@ -14,7 +14,7 @@
         }
         if !self.was_reset() {
             let beats = self.answers();
-            if beats.len() < self.quorum() {
+            if beats.len() < self.quorum() || self.is_bound(now, &beats) {
                 return;
             }
             self.inherit(now, &beats);
@@ -31,16 +31,21 @@
     }
 
     /// Returns the heartbeats of synced members that knew of this run when they sent them.
+    ///
+    /// Answers from earlier versions do not count: what is agreed there later may be agreed
+    /// without this instance, if it became a member at this version only.
     fn answers(&self) -> Vec<Heartbeat> {
-        let Some(assignment) = &self.assignment else {
-            return Vec::new();
-        };
-        let members = assignment.members.iter();
-        let beats = members.filter_map(|name| self.peers.get(name)?.synced());
-        let answers = beats.filter(|beat| {
-            beat.seen.get(&self.me) == Some(&self.incarnation) && beat.version <= assignment.version
-        });
-        answers.cloned().collect()
+        let knows = |beat: &&Heartbeat| beat.seen.get(&self.me) == Some(&self.incarnation);
+        let beats = self.peers_at_version().map(|(_, beat)| beat);
+        beats.filter(knows).cloned().collect()
+    }
+
+    /// Returns whether a promise is left to an instance that would be doubted from now on.
+    ///
+    /// A member that left and comes back may have acknowledged it shortly before.
+    fn is_bound(&self, now: Instant, beats: &[Heartbeat]) -> bool {
+        let mut doubted = beats.iter().flat_map(|beat| &beat.doubts);
+        doubted.any(|name| self.peers.get(name).is_some_and(|peer| now < peer.promise))
     }
 
     /// Returns how many other members meet every majority that an earlier run was part of.
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -36,6 +36,7 @@
             synced: beat.synced,
             leased: beat.leased,
             floor: beat.floor.0,
+            quiet: beat.quiet.0,
             losses: Some((&beat.losses).into()),
             doubts: texts(&beat.doubts),
             silent: texts(&beat.silent),
@@ -44,6 +45,8 @@
             seen: seen.collect(),
             loads: beat.loads.as_ref().map(loads),
             clock: 0,
+            data_centre: String::new(),
+            leaving: false,
         }
     }
 }
@@ -63,6 +66,7 @@
             synced: beat.synced,
             leased: beat.leased,
             floor: Version(beat.floor),
+            quiet: Version(beat.quiet),
             losses: beat.losses.map(Losses::from).unwrap_or_default(),
             doubts: names(beat.doubts),
             silent: names(beat.silent),
