--- a/crates/cowslipcross/src/hold/gate_tests.rs
+++ b/crates/cowslipcross/src/hold/gate_tests.rs
@@ -10,7 +10,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
-        time::Instant,
+        time::{Instant, timeout},
     },
 };
 
@@ -57,7 +57,9 @@
     let driver = tokio::spawn(driver);
     lease.set(Some(Instant::now()));
     let request = Request::post("/run/k").body(Body::default()).unwrap();
-    let seen = attempt::run(&mut sender, request, &meter).await;
+    let seen = attempt::run(&mut sender, request, &meter);
+    let seen = timeout(Duration::from_secs(20), seen).await;
+    let seen = seen.expect("an end without an answer");
     assert!(matches!(seen, Seen::Unsent), "{seen:?}");
     drop(sender);
     let _ = driver.await;
