fix(member): let a withheld loss expire when its target answers again

Cause: a silent target that a holder left to the planner was told as withheld until the next version, also after it had answered, so that a planner could move its ranges for nothing.

Broken for proof: no expiry, and no cap on proposals, are both caught by rules::a_holder_leaves_the_loss_of_most_of_its_targets_to_the_planner.

--- a/crates/decide/src/member/beat.rs
+++ b/crates/decide/src/member/beat.rs
@@ -111,7 +111,7 @@
             doubts: self.doubts.clone(),
             silent: self.silent(now),
             settled: self.book.settled.clone().filter(|_| self.synced),
-            withheld: self.withheld.clone(),
+            withheld: self.withheld.keys().cloned().collect(),
             seen: self.seen(),
             loads: (seq % LOADS_EVERY == 1).then(|| self.loads.clone()),
         }
--- a/crates/decide/src/member/loss.rs
+++ b/crates/decide/src/member/loss.rs
@@ -135,7 +135,7 @@
             self.proposed.insert(target.clone());
             self.lose_target(target);
         } else {
-            self.withheld.insert(target.clone());
+            self.withheld.insert(target.clone(), now);
         }
     }
 
--- a/crates/decide/src/member/mod.rs
+++ b/crates/decide/src/member/mod.rs
@@ -73,8 +73,8 @@
     doubts: BTreeSet<Name>,
     /// Targets whose loss this instance proposed at this version.
     proposed: BTreeSet<Name>,
-    /// Silent targets whose loss is left to the planner.
-    withheld: BTreeSet<Name>,
+    /// Silent targets whose loss is left to the planner, and when each was reported last.
+    withheld: BTreeMap<Name, Instant>,
     peers: BTreeMap<Name, Peer>,
     facts: Facts,
     carried: Carried,
@@ -114,7 +114,7 @@
             losses: Losses::default(),
             doubts: BTreeSet::new(),
             proposed: BTreeSet::new(),
-            withheld: BTreeSet::new(),
+            withheld: BTreeMap::new(),
             peers: BTreeMap::new(),
             facts: Facts::default(),
             carried: Carried::default(),
@@ -188,6 +188,8 @@
         if self.lease.is_some_and(|end| end <= now) {
             self.carried = Carried::default();
         }
+        let bound = self.timing.target_silence * 2;
+        self.withheld.retain(|_, at| now < *at + bound);
         self.called = now;
     }
 
--- a/crates/decide/src/member/query.rs
+++ b/crates/decide/src/member/query.rs
@@ -115,7 +115,7 @@
     pub fn withheld(&self) -> BTreeSet<Name> {
         let others = self.peers_at_version();
         let others = others.flat_map(|(_, beat)| beat.withheld.iter());
-        others.chain(&self.withheld).cloned().collect()
+        others.chain(self.withheld.keys()).cloned().collect()
     }
 
     /// Returns whether a majority of the members is there but too few of them know what was
--- a/crates/decide/tests/rules/mod.rs
+++ b/crates/decide/tests/rules/mod.rs
@@ -466,3 +466,24 @@
     });
     assert!(!silent && !fresh.member.has_lease(fresh.at));
 }
+
+#[test]
+fn a_holder_leaves_the_loss_of_most_of_its_targets_to_the_planner() {
+    let mut row = row();
+    let second = KeyRange {
+        start: 1 << 63,
+        owner: "t2".into(),
+        standby: Some("t3".into()),
+        ..row.ranges["s"][0].clone()
+    };
+    row.ranges.entry("s".into()).or_default().push(second);
+    let mut fresh = leased(row);
+    for target in ["t1", "t2"] {
+        let target = target.into();
+        fresh.member.report(fresh.at, HoldReport::Silent { target });
+    }
+    assert_eq!(fresh.member.lost().targets, ["t1".into()].into());
+    assert_eq!(fresh.member.withheld(), ["t2".into()].into());
+    fresh.member.tick(fresh.at + millis(500));
+    assert_eq!(fresh.member.withheld(), BTreeSet::new());
+}
