--- a/crates/cowslipcross/src/entry/classify.rs
+++ b/crates/cowslipcross/src/entry/classify.rs
@@ -4,6 +4,7 @@
     crate::config::Config,
     cowslip_decide::{key::key_hash, names::Name, verdict::Priority},
     http::{HeaderMap, Method, StatusCode, Uri, header},
+    percent_encoding::percent_decode_str,
     std::{fmt, result, time::Duration},
 };
 
@@ -49,8 +50,14 @@
     Method(Name, Name),
     /// The service is divided by key and the path has none.
     NoKey(Name),
-    /// The path has more segments than the service takes.
+    /// The service is not divided by key and the path has one.
+    Key(Name),
+    /// The path has more segments than a request has, or is too long.
     Path(String),
+    /// The path has a query.
+    Query(String),
+    /// The key is not valid percent-encoded UTF-8.
+    Encoding(String),
     /// A header holds an impossible value.
     Header(&'static str, String),
     /// The body is larger than this number of bytes.
@@ -67,7 +74,12 @@
             Self::Method(..) => StatusCode::METHOD_NOT_ALLOWED,
             Self::Large(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Body(_) => StatusCode::REQUEST_TIMEOUT,
-            Self::NoKey(_) | Self::Path(_) | Self::Header(..) => StatusCode::BAD_REQUEST,
+            Self::NoKey(_)
+            | Self::Key(_)
+            | Self::Path(_)
+            | Self::Query(_)
+            | Self::Encoding(_)
+            | Self::Header(..) => StatusCode::BAD_REQUEST,
         }
     }
 }
@@ -85,6 +97,9 @@
                 f,
                 "path {path:?} is not /service/route or /service/route/key"
             ),
+            Self::Key(service) => write!(f, "service {service:?} takes no key in the path"),
+            Self::Query(query) => write!(f, "a request takes no query, found {query:?}"),
+            Self::Encoding(key) => write!(f, "key {key:?} is not valid percent-encoding of UTF-8"),
             Self::Header(name, value) => write!(f, "header {name:?} has the bad value {value:?}"),
             Self::Large(bytes) => write!(f, "body is larger than {bytes} bytes"),
             Self::Body(why) => write!(f, "body did not arrive whole: {why}"),
@@ -98,6 +113,9 @@
 ///
 /// Says what is wrong with the path, the method or a header.
 pub fn classify(config: &Config, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<Class> {
+    if let Some(query) = uri.query() {
+        return Err(BadRequest::Query(query.to_owned()));
+    }
     let mut segments = uri.path().trim_start_matches('/').splitn(3, '/');
     let name = segments.next().unwrap_or_default();
     let service = config
@@ -127,21 +145,38 @@
     })
 }
 
+/// Returns the decoded key and its hash: two spellings of a key are one key.
 fn key(
     service: &Name,
     divided: bool,
     key: Option<&str>,
     path: &str,
 ) -> Result<Option<(Name, u64)>> {
-    match key {
-        Some(_) if !divided => Err(BadRequest::Path(path.to_owned())),
-        Some(key) if key.len() > NAME_BYTES || key.contains('/') => {
-            Err(BadRequest::Path(path.to_owned()))
-        }
-        Some(key) if !key.is_empty() => Ok(Some((key.into(), key_hash(key)))),
-        _ if divided => Err(BadRequest::NoKey(service.clone())),
-        _ => Ok(None),
+    let raw = match key {
+        Some(_) if !divided => return Err(BadRequest::Key(service.clone())),
+        Some(raw) if !raw.is_empty() => raw,
+        _ if divided => return Err(BadRequest::NoKey(service.clone())),
+        _ => return Ok(None),
+    };
+    if raw.contains('/') || raw.len() > NAME_BYTES {
+        return Err(BadRequest::Path(path.to_owned()));
+    }
+    let key = decode(raw)?;
+    let hash = key_hash(&key);
+    Ok(Some((key, hash)))
+}
+
+/// Decodes a segment of a path.
+fn decode(raw: &str) -> Result<Name> {
+    let wrong = || BadRequest::Encoding(raw.to_owned());
+    let bytes = raw.as_bytes();
+    let hex = |at: usize| bytes.get(at).is_some_and(u8::is_ascii_hexdigit);
+    let mut signs = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'%');
+    if !signs.all(|(at, _)| hex(at + 1) && hex(at + 2)) {
+        return Err(wrong());
     }
+    let text = percent_decode_str(raw).decode_utf8().map_err(|_| wrong())?;
+    Ok(text.as_ref().into())
 }
 
 fn patience(headers: &HeaderMap, limit_ms: u64) -> Result<Duration> {
--- a/crates/cowslipcross/src/entry/conn.rs
+++ b/crates/cowslipcross/src/entry/conn.rs
@@ -226,8 +226,6 @@
         let flushed = Pin::new(&mut self.stream).poll_flush(cx);
         if flushed.is_ready() && self.phase.load(Ordering::Relaxed) == ANSWERING {
             self.phase.store(READING, Ordering::Relaxed);
-            self.first = None;
-            self.seen = 0;
             self.last = Instant::now();
             self.first = None;
             self.seen = 0;
