fix(standins): end every child when a signal stops the demo or a benchmark

standin-bench left its processes behind when it was stopped by SIGTERM; the demo's way of ending them is now shared.

--- a/crates/standins/src/bench/drills.rs
+++ b/crates/standins/src/bench/drills.rs
@@ -157,6 +157,16 @@
     }
     thread::sleep(PAUSE);
     let seen = through_others(&tally.history, &cluster.instances[instance].name);
+    for sent in seen
+        .iter()
+        .filter(|sent| sent.answered > at && sent.reason.is_some())
+    {
+        let after = (sent.answered - at) / 1000;
+        eprintln!(
+            "{victim:?} {frozen} {down}: {} after {after} ms: {:?}",
+            sent.key, sent.reason
+        );
+    }
     Ok(recovery(&plan.kinds, &seen, at))
 }
 
--- a/crates/standins/src/bin/standin-bench.rs
+++ b/crates/standins/src/bin/standin-bench.rs
@@ -2,7 +2,10 @@
 
 use {
     clap::{Arg, ArgMatches, Command, value_parser},
-    cowslip_standins::bench::{drills, router},
+    cowslip_standins::{
+        bench::{drills, router},
+        cluster::until_signal,
+    },
     eyre::Result,
     std::time::Duration,
 };
@@ -11,6 +14,10 @@
 
 fn main() -> Result<()> {
     let matches = command().get_matches();
+    until_signal(move || run(&matches))
+}
+
+fn run(matches: &ArgMatches) -> Result<()> {
     let number = |matches: &ArgMatches, name: &str| *matches.get_one::<u64>(name).expect("default");
     match matches.subcommand() {
         Some(("router", matches)) => {
--- a/crates/standins/src/cluster/mod.rs
+++ b/crates/standins/src/cluster/mod.rs
@@ -3,7 +3,7 @@
 mod files;
 mod process;
 
-pub use process::{Process, program};
+pub use process::{Process, program, until_signal};
 
 use {
     crate::{
