--- a/crates/cowslipcross/src/hold/grants.rs
+++ b/crates/cowslipcross/src/hold/grants.rs
@@ -1,13 +1,16 @@
 //! Grants that a target has or may have, and when the next one is posted.
 
+#[cfg(test)]
+#[path = "grants_tests.rs"]
+mod tests;
+
 use {
     super::{
-        codes,
         control::{self, Ask, Grant, Health, Told},
         desk::Desk,
         site::Site,
     },
-    crate::events::About,
+    crate::events,
     cowslip_decide::duty::{Duties, Granted},
     std::time::Duration,
     tokio::time::Instant,
@@ -57,10 +60,12 @@
         self.due = self.due.min(self.received);
     }
 
-    /// Forgets the stamp of a run of the target that is over.
+    /// Forgets the stamp of a run of the target that seems to be over.
+    ///
+    /// It may only seem so: what the target had been granted counts until it has run out.
     pub fn restart(&mut self) {
         self.stamp = 0;
-        self.confirmed = None;
+        self.doubtful.extend(self.confirmed.take());
         self.hurry();
     }
 
@@ -177,12 +182,7 @@
 
     fn granted(&mut self, target: &str, grant: Grant, told: Told, now: Instant) {
         if let Told::Refused(why) = &told {
-            let about = About {
-                target: Some(target.into()),
-                detail: Some(why.clone()),
-                ..About::default()
-            };
-            self.context.events.note(codes::GRANT_REFUSED, about);
+            self.note(events::GRANT_REFUSED, target, why.clone());
         }
         if let Some(site) = self.sites.get_mut(target) {
             site.grants.told(grant, &told, now);
