--- a/crates/cowslipcross/src/hold/grants.rs
+++ b/crates/cowslipcross/src/hold/grants.rs
@@ -133,13 +133,10 @@
         let leased = self.lease.is_valid();
         let holder = self.context.instance.clone();
         let version = self.duties.version.0;
-        let Some((name, site)) = self
-            .sites
-            .iter_mut()
-            .find(|(name, _)| name.as_ref() == target)
-        else {
+        let Some(site) = self.sites.get_mut(target) else {
             return;
         };
+        let name = site.name.clone();
         let Some((number, link)) = &mut site.control else {
             return;
         };
@@ -158,7 +155,7 @@
             return;
         };
         let post = self.post.clone();
-        tokio::spawn(control::exchange(name.clone(), number, sender, ask, post));
+        tokio::spawn(control::exchange(name, number, sender, ask, post));
     }
 
     /// Notes the end of an exchange.
--- a/crates/cowslipcross/src/hold/site.rs
+++ b/crates/cowslipcross/src/hold/site.rs
@@ -6,7 +6,7 @@
     cowslip_decide::{
         deliver::{hot::Hottest, slots::Profile},
         duty::Duty,
-        names::Fence,
+        names::{Fence, Name},
     },
     cowslip_settings::document::{Document, Service, Target},
     std::{
@@ -49,6 +49,8 @@
 /// A held target.
 #[derive(Debug)]
 pub struct Site {
+    /// Name of the target.
+    pub name: Name,
     /// What the document says of it.
     pub listing: Listing,
     /// Lane of the target.
@@ -155,8 +157,9 @@
 
 impl Site {
     /// Returns a target that was just taken on.
-    pub fn new(listing: Listing, duty: Duty, now: Instant) -> Self {
+    pub fn new(name: Name, listing: Listing, duty: Duty, now: Instant) -> Self {
         Self {
+            name,
             lane: listing.lane.clone(),
             grants: Grants::new(now),
             listing,
--- a/crates/cowslipcross/src/hold/sites.rs
+++ b/crates/cowslipcross/src/hold/sites.rs
@@ -64,7 +64,7 @@
                 }
                 None => {
                     let detail = format!("taken over: {}", duty.taken_over);
-                    let site = Site::new(listing, duty, now);
+                    let site = Site::new(name.clone(), listing, duty, now);
                     self.sites.insert(name.clone(), site);
                     self.note(events::TARGET_HELD, &name, detail);
                 }
@@ -170,13 +170,10 @@
             let free = slots.limit(now).max(1).saturating_sub(slots.in_use(now));
             (1 + free as usize).saturating_sub(server.idle())
         });
-        let Some((name, site)) = self
-            .sites
-            .iter_mut()
-            .find(|(name, _)| name.as_ref() == target)
-        else {
+        let Some(site) = self.sites.get_mut(target) else {
             return;
         };
+        let name = site.name.clone();
         let Some(address) = site.listing.address else {
             return;
         };
@@ -194,14 +191,7 @@
         site.next_link += 1;
         let lease: Option<Lease> = (kind == Use::Work).then(|| self.lease.clone());
         let post = self.post.clone();
-        tokio::spawn(links::open(
-            name.clone(),
-            address,
-            number,
-            kind,
-            lease,
-            post,
-        ));
+        tokio::spawn(links::open(name, address, number, kind, lease, post));
     }
 
     /// Notes an open connection.
--- a/crates/cowslipcross/src/hold/watch.rs
+++ b/crates/cowslipcross/src/hold/watch.rs
@@ -117,16 +117,11 @@
     }
 
     fn report_silent(&mut self, target: &str) {
-        let Some((name, site)) = self
-            .sites
-            .iter_mut()
-            .find(|(name, _)| name.as_ref() == target)
-        else {
+        let Some(site) = self.sites.get_mut(target) else {
             return;
         };
-        let report = HoldReport::Silent {
-            target: name.clone(),
-        };
+        let name = site.name.clone();
+        let report = HoldReport::Silent { target: name };
         let _ = self.context.reports.try_send(report);
         site.answers = false;
         if site.silent {
@@ -223,7 +218,7 @@
             };
             let load = Load {
                 in_flight: server.slots.in_use(now),
-                queued: lane.queued() as u32,
+                queued: (lane.queued() / lane.names().count().max(1)) as u32,
                 limit: server.slots.limit(now),
                 latency: server.latency().unwrap_or_default(),
                 served: server.served,
--- a/crates/decide/src/duty.rs
+++ b/crates/decide/src/duty.rs
@@ -64,7 +64,7 @@
 pub struct Load {
     /// Requests at the target.
     pub in_flight: u32,
-    /// Requests that wait for a slot.
+    /// Requests that wait for a slot; those of a pool are shared out among its targets.
     pub queued: u32,
     /// Requests that the holder lets the target run at the same time now.
     pub limit: u32,
