fix(hold): give up a withdrawn or leaving owner without the planner

Cause: read in the code: when the table went down right after a withdrawal, no planner could move the ranges and the holder went on sending to the withdrawn data centre for good. A report of the holder was also lost for ever when the ring to the member duty was full. Change: pools close such targets at once; an owner is closed 1.5 s after its holder learns of it, and its loss is proposed, so that recorded standbys take over, table up or down. Reports wait for room in the ring.

--- a/crates/cowslipcross/src/hold/site.rs
+++ b/crates/cowslipcross/src/hold/site.rs
@@ -44,6 +44,8 @@
     pub granted: bool,
     /// Longest time that one of its requests may run.
     pub longest: Duration,
+    /// Whether its data centre is withdrawn.
+    pub withdrawn: bool,
 }
 
 /// A held target.
@@ -87,6 +89,8 @@
     pub hottest: Hottest,
     /// Time at which it said that it is leaving.
     pub leaving: Option<Instant>,
+    /// Time at which its data centre was withdrawn.
+    pub withdrawn: Option<Instant>,
     /// Whether its silence was noted as an event.
     pub silent: bool,
     /// Whether it bore all its slots at the last check.
@@ -99,12 +103,16 @@
     /// Returns what the document says of `target`.
     pub fn find(document: &Document, target: &str) -> Option<Self> {
         let services = document.services.iter();
+        let withdrawn = |target: &Target| document.withdrawn.contains(&target.data_centre);
         let mut found = services.filter_map(|service| {
             let found = service
                 .targets
                 .iter()
                 .find(|one| one.name.as_ref() == target)?;
-            Some(Self::new(service, found))
+            Some(Self {
+                withdrawn: withdrawn(found),
+                ..Self::new(service, found)
+            })
         });
         found.next()
     }
@@ -124,6 +132,7 @@
             connections: target.connections as usize,
             granted: service.divided && target.checks_fence,
             longest: Duration::from_millis(longest.unwrap_or_default()),
+            withdrawn: false,
         }
     }
 }
@@ -158,6 +167,7 @@
 impl Site {
     /// Returns a target that was just taken on.
     pub fn new(name: Name, listing: Listing, duty: Duty, now: Instant) -> Self {
+        let withdrawn = listing.withdrawn.then_some(now);
         Self {
             name,
             lane: listing.lane.clone(),
@@ -178,6 +188,7 @@
             lingering: Vec::new(),
             hottest: Hottest::default(),
             leaving: None,
+            withdrawn,
             silent: false,
             warm: false,
             answers: false,
@@ -199,8 +210,20 @@
         allowed && self.grants.is_within(self.ranges(), now)
     }
 
+    /// Returns since when the target should get no new work, if it should not.
+    pub fn barred_since(&self) -> Option<Instant> {
+        match (self.leaving, self.withdrawn) {
+            (Some(one), Some(other)) => Some(one.min(other)),
+            (one, other) => one.or(other),
+        }
+    }
+
     /// Takes what a changed document says of the target.
-    pub fn relist(&mut self, listing: Listing) {
+    pub fn relist(&mut self, listing: Listing, now: Instant) {
+        self.withdrawn = match listing.withdrawn {
+            true => self.withdrawn.or(Some(now)),
+            false => None,
+        };
         if listing.address != self.listing.address {
             let links = self.links.values();
             links.for_each(Link::retire);
--- a/crates/cowslipcross/src/hold/sites.rs
+++ b/crates/cowslipcross/src/hold/sites.rs
@@ -36,6 +36,12 @@
 /// Doublings of `REOPENING`.
 const MOST_DOUBLINGS: u32 = 4;
 
+/// Time for the planner to move the ranges of a target that is leaving or withdrawn.
+///
+/// Afterwards its holder stops sending and proposes its loss, so that the standbys take over even
+/// while the table is down: no new work reaches it within a few seconds.
+pub const MOVING: Duration = Duration::from_millis(1500);
+
 /// Time after which a target that says it is not leaving any more is believed.
 const RETURNING: Duration = Duration::from_secs(1);
 
@@ -58,9 +64,8 @@
                         && let Some(server) = lane.server_mut(&name)
                     {
                         server.slots.retake(foreign);
-                        server.set_open(site.leaving.is_none());
                     }
-                    site.relist(listing);
+                    site.relist(listing, now);
                 }
                 None => {
                     let detail = format!("taken over: {}", duty.taken_over);
@@ -69,6 +74,7 @@
                     self.note(events::TARGET_HELD, &name, detail);
                 }
             }
+            self.bar(&name, now);
             self.connect(&name, now);
         }
         self.release_rest();
@@ -384,8 +390,25 @@
             (false, true) if returned => site.leaving = None,
             _ => return,
         }
+        self.bar(target, now);
+        if leaving {
+            self.note(events::TARGET_LEAVING, target, String::new());
+        }
+    }
+
+    /// Opens a target to new work, or closes it when it is leaving or withdrawn.
+    ///
+    /// A pool has others to choose from at once; an owner goes on until the planner has moved its
+    /// ranges, but not for longer than [`MOVING`].
+    pub fn bar(&mut self, target: &str, now: Instant) {
+        let Some(site) = self.sites.get(target) else {
+            return;
+        };
         let pooled = matches!(site.lane, LaneKey::Service(_));
-        let open = site.duty.is_some() && !(pooled && leaving);
+        let barred = site
+            .barred_since()
+            .is_some_and(|since| pooled || now >= since + MOVING);
+        let open = site.duty.is_some() && !barred;
         let lane = site.lane.clone();
         if let Some(server) = self.server(target) {
             server.set_open(open);
@@ -393,9 +416,6 @@
         if self.lanes.get(&lane).is_some_and(|lane| !lane.is_open()) {
             self.flush(&lane, Reason::NoOwner);
         }
-        if leaving {
-            self.note(events::TARGET_LEAVING, target, String::new());
-        }
     }
 
     /// Queues the cancellation of an attempt.
--- a/crates/cowslipcross/src/hold/watch.rs
+++ b/crates/cowslipcross/src/hold/watch.rs
@@ -6,6 +6,7 @@
         desk::{Desk, TICK},
         grants::RENEWAL,
         site::Site,
+        sites::MOVING,
     },
     crate::events::{self, About},
     cowslip_decide::{
@@ -110,12 +111,32 @@
         if silent && report {
             self.report_silent(target);
         }
+        self.check_barred(target, report, now);
         self.suspect(target, now);
         self.cover(target, now);
         self.exchange(target, now);
         self.connect(target, now);
     }
 
+    /// Proposes the loss of a target that still has ranges long after it should get no work.
+    fn check_barred(&mut self, target: &str, report: bool, now: Instant) {
+        let Some(site) = self.sites.get(target).filter(|site| site.duty.is_some()) else {
+            return;
+        };
+        if site.barred_since().is_none_or(|since| now < since + MOVING) {
+            return;
+        }
+        let owns = !site.ranges().is_empty();
+        let name = site.name.clone();
+        self.bar(target, now);
+        if owns && report {
+            let _ = self
+                .context
+                .reports
+                .try_send(HoldReport::Silent { target: name });
+        }
+    }
+
     fn report_silent(&mut self, target: &str) {
         let Some(site) = self.sites.get_mut(target) else {
             return;
--- a/crates/cowslipcross/src/member/mod.rs
+++ b/crates/cowslipcross/src/member/mod.rs
@@ -91,16 +91,16 @@
     let events = context.events.clone();
     duty::start("reports", move || async move {
         while let Some(report) = taken.recv().await {
-            // The holding duty repeats what still holds.
-            if let Offer::Full(_) = members.offer(MemberEvent::Report(report)) {
+            // A full ring is told once; the report waits, because some are made only once, and the
+            // holding duty sees its own ring fill up.
+            if let Offer::Full(event) = members.offer(MemberEvent::Report(report)) {
                 let detail = Some("ring to the member duty".to_owned());
-                events.note(
-                    events::RING_FULL,
-                    About {
-                        detail,
-                        ..About::default()
-                    },
-                );
+                let about = About {
+                    detail,
+                    ..About::default()
+                };
+                events.note(events::RING_FULL, about);
+                members.send(event).await;
             }
         }
     })?;
--- a/crates/cowslipcross/tests/entry.rs
+++ b/crates/cowslipcross/tests/entry.rs
@@ -153,12 +153,7 @@
         ),
         ("POST /registry/lookup/k", "", 405, "takes method GET only"),
         ("GET /registry/lookup", "", 400, "needs a key"),
-        (
-            "GET /registry/lookup/a/b",
-            "",
-            400,
-            "is not /service/route",
-        ),
+        ("GET /registry/lookup/a/b", "", 400, "is not /service/route"),
         ("GET /registry/lookup/k?all=1", "", 400, "takes no query"),
         (
             "GET /registry/lookup/%zz",
--- a/crates/cowslipcross/tests/hold.rs
+++ b/crates/cowslipcross/tests/hold.rs
@@ -12,8 +12,8 @@
         hold::HoldCommand,
         work::{Aim, Outcome},
     },
-    fake::{Bench, Fake, Held, PLAIN, duty, ended, until},
-    std::{collections::BTreeMap, time::Duration},
+    fake::{Bench, Fake, Held, PLAIN, document, duty, ended, until},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
@@ -413,3 +413,31 @@
     let (first, second) = arrivals("once-");
     assert_eq!(first + second, 1);
 }
+
+/// No planner moves anything here, as when the table is down after the withdrawal.
+#[tokio::test]
+async fn a_withdrawn_owner_is_given_up_by_its_holder_alone() {
+    let fake = Fake::start().await;
+    let bench = &mut Bench::start(&[&fake], PLAIN).await;
+    let first = bench.owned("before");
+    assert_eq!(bench.end(first).await.verdict, Verdict::Ran);
+    let mut withdrawn = document(&[&fake], PLAIN);
+    withdrawn.withdrawn.insert("dc".into());
+    bench
+        .command(HoldCommand::Document(Arc::new(withdrawn)))
+        .await;
+    // The loss is proposed although the target answers, so that its standby takes over.
+    let given_up = |report| matches!(report, HoldReport::Silent { .. }).then_some(());
+    bench.report(given_up).await;
+    let arrived = fake.record().arrived.len();
+    let work = bench.owned("after");
+    assert_eq!(
+        end_of(&bench.end(work).await),
+        (Verdict::NotRun, Some(Reason::NoOwner))
+    );
+    assert_eq!(fake.record().arrived.len(), arrived);
+    let restored = HoldCommand::Document(Arc::new(document(&[&fake], PLAIN)));
+    bench.command(restored).await;
+    let work = bench.owned("restored");
+    assert_eq!(bench.end(work).await.verdict, Verdict::Ran);
+}
