fix(hold): keep counting broken requests when a restart is only likely

Cause: a target without start ids was taken for restarted after any break, and its broken requests then counted as over for the settling of duties. Ruled out: the slots, which kept them. Only a changed start id clears them now; the end without one has a kind of its own. That the holding duty itself keeps them is not tested.

--- a/crates/cowslipcross/src/hold/sites.rs
+++ b/crates/cowslipcross/src/hold/sites.rs
@@ -361,7 +361,9 @@
             && let Some(site) = self.sites.get_mut(target)
         {
             site.grants.restart();
-            site.lingering.clear();
+            if chill == Some(Chill::Restarted) {
+                site.lingering.clear();
+            }
             site.leaving = None;
         }
         if let Some(chill) = chill {
--- a/crates/decide/src/deliver/slots.rs
+++ b/crates/decide/src/deliver/slots.rs
@@ -33,6 +33,8 @@
 pub enum Chill {
     /// Its start id changed.
     Restarted,
+    /// A connection broke and no start id tells whether it restarted.
+    Doubted,
     /// Its latency jumped.
     Slowed,
     /// It shed a request within its limit.
@@ -200,11 +202,11 @@
     pub fn seen(&mut self, start: Option<&str>, from: Source, now: Instant) -> Option<Chill> {
         let doubted = self.doubt.is_some_and(|doubt| from.link >= doubt);
         let Some(start) = start else {
-            return doubted.then(|| self.restart());
+            return doubted.then(|| self.restart(Chill::Doubted));
         };
         let Some(run) = &mut self.run else {
             self.run = Some(Run::new(start, from.link, now));
-            return doubted.then(|| self.restart());
+            return doubted.then(|| self.restart(Chill::Doubted));
         };
         if run.start.as_ref() == start {
             run.newest = run.newest.max(from.link);
@@ -225,7 +227,7 @@
         self.foreign = None;
         self.running
             .retain(|_, taken| taken.link >= first || taken.until.is_none());
-        Some(self.restart())
+        Some(self.restart(Chill::Restarted))
     }
 
     /// Notes that an answer to what was asked after the last break named this start id.
@@ -306,12 +308,12 @@
         self.profile.cold.min(self.profile.slots)
     }
 
-    fn restart(&mut self) -> Chill {
+    fn restart(&mut self, chill: Chill) -> Chill {
         self.doubt = None;
         self.paces = Default::default();
         self.slowed = None;
         self.chill();
-        Chill::Restarted
+        chill
     }
 
     fn chill(&mut self) {
