fix(hold): settle a silent target by its grant, follow the settings' timing

Cause: a request at a killed or frozen owner counted until its deadline, so that its keys waited for 3 to 5 s instead of one; and the holder used its own constants for grants, renewals and silence, so that a deployment with other settings would have trusted grants longer than its members did. Ruled out: waiting for less at targets without fence checks (only the deadline bounds what they run). Change: at a silent target that checks fences only the grant is waited for; the holder takes the periods of the member machine.

--- a/crates/cowslipcross/examples/hold_rate.rs
+++ b/crates/cowslipcross/examples/hold_rate.rs
@@ -180,6 +180,7 @@
     let context = Context {
         instance: "i0".into(),
         events: Default::default(),
+        timing: Default::default(),
         reports,
     };
     let duty = hold::start(context).expect("a thread");
--- a/crates/cowslipcross/src/hold/grants.rs
+++ b/crates/cowslipcross/src/hold/grants.rs
@@ -11,22 +11,16 @@
         site::Site,
     },
     crate::events,
-    cowslip_decide::duty::{Duties, Granted},
+    cowslip_decide::{
+        duty::{Duties, Granted},
+        member::Timing,
+    },
     std::time::Duration,
     tokio::time::Instant,
 };
 
-/// Time for which a grant is in force, counted from its stamp on the target's own clock.
-pub const GRANT: Duration = Duration::from_millis(400);
-
-/// `GRANT` with the margin for clocks that run at different rates.
-const GRANT_WITH_DRIFT: Duration = Duration::from_millis(420);
-
-/// Age of a stamp up to which requests are sent under its grant.
-const GRANT_USE: Duration = Duration::from_millis(360);
-
-/// Period of grants and probes.
-pub const RENEWAL: Duration = Duration::from_millis(100);
+/// Part of a grant, in percent, for which requests are sent under it; the rest is for their way.
+const USE_PERCENT: u32 = 90;
 
 /// Period of the probes of a target that gets grants.
 const RARE_PROBE: Duration = Duration::from_millis(500);
@@ -34,6 +28,7 @@
 /// Grants of one target.
 #[derive(Clone, Debug)]
 pub struct Grants {
+    timing: Timing,
     stamp: u64,
     received: Instant,
     due: Instant,
@@ -44,8 +39,9 @@
 
 impl Grants {
     /// Returns the grants of a target that was just taken on: none, and one due at once.
-    pub fn new(now: Instant) -> Self {
+    pub fn new(timing: Timing, now: Instant) -> Self {
         Self {
+            timing,
             stamp: 0,
             received: now,
             due: now,
@@ -74,19 +70,28 @@
         let Some(grant) = &self.confirmed else {
             return false;
         };
-        grant.stamp != 0 && grant.ranges == ranges && now < grant.received + GRANT_USE
+        grant.stamp != 0
+            && grant.ranges == ranges
+            && now < grant.received + self.timing.grant * USE_PERCENT / 100
     }
 
     /// Returns whether the target surely has no grant beyond these ranges.
     pub fn is_within(&self, ranges: &[Granted], now: Instant) -> bool {
+        let lasting = self.lasting();
         let known = self.flying.iter().chain(&self.confirmed);
         let mut grants = known.chain(&self.doubtful);
         grants.all(|grant| {
-            let over = grant.stamp == 0 || now >= grant.received + GRANT_WITH_DRIFT;
+            let over = grant.stamp == 0 || now >= grant.received + lasting;
             over || grant.ranges.iter().all(|range| ranges.contains(range))
         })
     }
 
+    /// Returns the time here after which a grant has run out on the target's own clock, whatever
+    /// the rates of the two clocks.
+    fn lasting(&self) -> Duration {
+        self.timing.surely(self.timing.grant)
+    }
+
     /// Returns the next grant if one is due.
     fn next(
         &mut self,
@@ -98,11 +103,11 @@
         if now < self.due || self.flying.is_some() {
             return None;
         }
-        self.due = now + RENEWAL;
+        self.due = now + self.timing.renewal;
         let grant = Grant {
             stamp: self.stamp,
             received: self.received,
-            json: control::grant_json(holder, version, self.stamp, GRANT, ranges),
+            json: control::grant_json(holder, version, self.stamp, self.timing.grant, ranges),
             ranges: ranges.to_vec(),
         };
         self.flying = Some(grant.clone());
@@ -111,9 +116,9 @@
 
     /// Notes the end of a grant.
     fn told(&mut self, grant: Grant, told: &Told, now: Instant) {
+        let lasting = self.lasting();
         self.flying = None;
-        self.doubtful
-            .retain(|one| now < one.received + GRANT_WITH_DRIFT);
+        self.doubtful.retain(|one| now < one.received + lasting);
         match told {
             Told::Granted { stamp, .. } => {
                 let first = self.stamp == 0;
@@ -259,7 +264,12 @@
             return None;
         }
         let rare = self.listing.granted && may_grant;
-        self.probe_at = now + if rare { RARE_PROBE } else { RENEWAL };
+        self.probe_at = now
+            + if rare {
+                RARE_PROBE
+            } else {
+                self.timing.renewal
+            };
         Some(Ask::Probe)
     }
 }
--- a/crates/cowslipcross/src/hold/grants_tests.rs
+++ b/crates/cowslipcross/src/hold/grants_tests.rs
@@ -1,13 +1,16 @@
 //! What a target may still have been granted.
 
 use {
-    super::{GRANT_WITH_DRIFT, Grants},
+    super::Grants,
     crate::hold::control::Told,
-    cowslip_decide::{duty::Granted, names::Fence},
+    cowslip_decide::{duty::Granted, member::Timing, names::Fence},
     std::time::Duration,
     tokio::time::Instant,
 };
 
+/// 400 ms and 5%.
+const GRANT_WITH_DRIFT: Duration = Duration::from_millis(420);
+
 fn range() -> Granted {
     Granted {
         service: "s".into(),
@@ -33,7 +36,7 @@
 #[test]
 fn a_target_that_seems_restarted_keeps_its_grant_until_it_has_run_out() {
     let now = Instant::now();
-    let mut grants = Grants::new(now);
+    let mut grants = Grants::new(Timing::default(), now);
     exchange(&mut grants, &[range()], now);
     exchange(&mut grants, &[range()], now);
     assert!(grants.covers(&[range()], now));
--- a/crates/cowslipcross/src/hold/mod.rs
+++ b/crates/cowslipcross/src/hold/mod.rs
@@ -21,6 +21,7 @@
     crate::{events::Events, work::Ticket},
     cowslip_decide::{
         duty::{Duties, HoldReport, LeaseEnd},
+        member::Timing,
         names::Name,
     },
     cowslip_settings::document::Document,
@@ -59,6 +60,8 @@
     pub instance: Name,
     /// Events of this process.
     pub events: Events,
+    /// Periods and bounds that all instances share.
+    pub timing: Timing,
     /// Ring of the member thread; a report that finds it full is posted again.
     pub reports: mpsc::Sender<HoldReport>,
 }
--- a/crates/cowslipcross/src/hold/site.rs
+++ b/crates/cowslipcross/src/hold/site.rs
@@ -6,6 +6,7 @@
     cowslip_decide::{
         deliver::{hot::Hottest, slots::Profile},
         duty::Duty,
+        member::Timing,
         names::{Fence, Name},
     },
     cowslip_settings::document::{Document, Service, Target},
@@ -51,6 +52,8 @@
 /// A held target.
 #[derive(Debug)]
 pub struct Site {
+    /// Periods and bounds of grants, probes and silence.
+    pub timing: Timing,
     /// Name of the target.
     pub name: Name,
     /// What the document says of it.
@@ -166,12 +169,13 @@
 
 impl Site {
     /// Returns a target that was just taken on.
-    pub fn new(name: Name, listing: Listing, duty: Duty, now: Instant) -> Self {
+    pub fn new(name: Name, listing: Listing, duty: Duty, timing: Timing, now: Instant) -> Self {
         let withdrawn = listing.withdrawn.then_some(now);
         Self {
             name,
+            timing,
             lane: listing.lane.clone(),
-            grants: Grants::new(now),
+            grants: Grants::new(timing, now),
             listing,
             duty: Some(duty),
             links: BTreeMap::new(),
@@ -200,8 +204,19 @@
         self.duty.as_ref().map_or(&[], |duty| &duty.ranges)
     }
 
+    /// Returns whether the target has not answered anything for too long.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) > self.timing.target_silence
+    }
+
     /// Returns whether nothing is in flight or granted that the duty does not allow.
+    ///
+    /// Requests at a silent target that checks fences are not waited for: once its grant has run
+    /// out it starts none of them.
     pub fn is_settled(&self, now: Instant) -> bool {
+        if self.listing.granted && self.is_silent(now) {
+            return self.grants.is_within(self.ranges(), now);
+        }
         let duty = self.duty.as_ref();
         let busy = self.links.values().filter_map(|link| link.busy.as_ref());
         let lingering = self.lingering.iter().filter(|one| now < one.until);
--- a/crates/cowslipcross/src/hold/sites.rs
+++ b/crates/cowslipcross/src/hold/sites.rs
@@ -69,7 +69,7 @@
                 }
                 None => {
                     let detail = format!("taken over: {}", duty.taken_over);
-                    let site = Site::new(name.clone(), listing, duty, now);
+                    let site = Site::new(name.clone(), listing, duty, self.context.timing, now);
                     self.sites.insert(name.clone(), site);
                     self.note(events::TARGET_HELD, &name, detail);
                 }
--- a/crates/cowslipcross/src/hold/watch.rs
+++ b/crates/cowslipcross/src/hold/watch.rs
@@ -4,7 +4,6 @@
     super::{
         control::Ask,
         desk::{Desk, TICK},
-        grants::RENEWAL,
         site::Site,
         sites::MOVING,
     },
@@ -18,9 +17,6 @@
     tokio::time::Instant,
 };
 
-/// Silence after which a target is reported.
-const TARGET_SILENCE: Duration = Duration::from_millis(250);
-
 /// Period of the reports of loads and of silent targets.
 const REPORT: Duration = Duration::from_millis(50);
 
@@ -103,8 +99,7 @@
         };
         let warmed = warm && !site.warm;
         site.warm = warm;
-        let silence = now.saturating_duration_since(site.heard);
-        let silent = site.duty.is_some() && silence > TARGET_SILENCE;
+        let silent = site.duty.is_some() && site.is_silent(now);
         if warmed {
             self.note(events::TARGET_WARM, target, String::new());
         }
@@ -197,7 +192,7 @@
             let bound = lane.suspicious(priority, SUSPICIOUS, SHORTEST_SUSPICION);
             let age = now.saturating_duration_since(busy.since);
             let overdue = now >= busy.passage.until;
-            let proven = site.proof > busy.since + RENEWAL;
+            let proven = site.proof > busy.since + site.timing.renewal;
             if overdue || (proven && age > bound) {
                 suspects.push(Suspect {
                     number: *number,
--- a/crates/cowslipcross/src/instance.rs
+++ b/crates/cowslipcross/src/instance.rs
@@ -81,6 +81,7 @@
     let hold = hold::start(hold::Context {
         instance: context.name.clone(),
         events: context.events.clone(),
+        timing: member::timing(&context.settings.timing),
         reports: member::reports(&context, members.clone())?,
     })?;
     let tickets = Ring::from(hold.tickets.clone());
--- a/crates/cowslipcross/src/member/driver.rs
+++ b/crates/cowslipcross/src/member/driver.rs
@@ -20,7 +20,6 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
-        time::Duration,
     },
     tokio::{sync::oneshot, time::Instant},
 };
@@ -49,25 +48,12 @@
     last_tick: Instant,
 }
 
-/// Returns the timing of the member machine.
-fn timing(context: &Context) -> Timing {
-    let timing = &context.settings.timing;
-    Timing {
-        heartbeat: Duration::from_millis(timing.heartbeat_ms),
-        lease: Duration::from_millis(timing.lease_ms),
-        drift_percent: timing.drift_percent as u32,
-        grant: Duration::from_millis(timing.grant_ms),
-        renewal: Duration::from_millis(timing.renewal_ms),
-        target_silence: Duration::from_millis(timing.silence_ms),
-    }
-}
-
 impl Driver {
     pub(super) fn new(context: Arc<Context>, rings: Rings) -> Self {
         let now = Instant::now();
         let mut peers: BTreeSet<_> = context.settings.peers.keys().cloned().collect();
         peers.insert(context.name.clone());
-        let timing = timing(&context);
+        let timing = super::timing(&context.settings.timing);
         let member = Member::new(
             context.name.clone(),
             context.incarnation,
--- a/crates/cowslipcross/src/member/mod.rs
+++ b/crates/cowslipcross/src/member/mod.rs
@@ -23,7 +23,12 @@
         ring::{Offer, Ring},
         store::ask::Ask,
     },
-    cowslip_decide::{assign::Assignment, duty::HoldReport, member::Ack},
+    cowslip_decide::{
+        assign::Assignment,
+        duty::HoldReport,
+        member::{Ack, Timing},
+    },
+    cowslip_settings::process::timing as settings,
     cowslip_wire::peer,
     driver::Driver,
     std::{io, sync::Arc, time::Duration},
@@ -78,6 +83,18 @@
     pub store: Ring<Ask>,
 }
 
+/// Returns the periods and bounds that the settings name.
+pub fn timing(settings: &settings::Timing) -> Timing {
+    Timing {
+        heartbeat: Duration::from_millis(settings.heartbeat_ms),
+        lease: Duration::from_millis(settings.lease_ms),
+        drift_percent: settings.drift_percent as u32,
+        grant: Duration::from_millis(settings.grant_ms),
+        renewal: Duration::from_millis(settings.renewal_ms),
+        target_silence: Duration::from_millis(settings.silence_ms),
+    }
+}
+
 /// Returns the ring on which the holding duty reports to the member duty.
 ///
 /// # Errors
--- a/crates/cowslipcross/tests/fake/mod.rs
+++ b/crates/cowslipcross/tests/fake/mod.rs
@@ -321,6 +321,7 @@
         let context = Context {
             instance: "i0".into(),
             events: Default::default(),
+            timing: Default::default(),
             reports,
         };
         let mut bench = Self {
--- a/crates/cowslipcross/tests/hold.rs
+++ b/crates/cowslipcross/tests/hold.rs
@@ -441,3 +441,29 @@
     let work = bench.owned("restored");
     assert_eq!(bench.end(work).await.verdict, Verdict::Ran);
 }
+
+/// A key must be served again within a second of a loss, however long its requests may take.
+#[tokio::test]
+async fn a_request_at_a_silent_target_does_not_hold_its_range_back() {
+    let fake = Fake::start().await;
+    let held = Held {
+        fence: true,
+        ..PLAIN
+    };
+    let bench = &mut Bench::start(&[&fake], held).await;
+    bench.settled(1).await;
+    let first = bench.owned("before");
+    assert_eq!(bench.end(first).await.verdict, Verdict::Ran);
+    let mut work = bench.owned("silent-lost");
+    work.deadline = Instant::now() + Duration::from_secs(3600);
+    let end = bench.send(work).await;
+    until(|| {
+        let arrived = &fake.record().arrived;
+        arrived.iter().any(|path| path.ends_with("silent-lost"))
+    })
+    .await;
+    fake.record().frozen = true;
+    let seq = bench.hold(BTreeMap::new()).await;
+    bench.settled(seq).await;
+    drop(end);
+}
