--- a/crates/cowslipcross/src/member/write.rs
+++ b/crates/cowslipcross/src/member/write.rs
@@ -41,6 +41,7 @@
         sk: ALONE.into(),
         version: commit.version(),
         body,
+        expires: None,
     };
     let mut writes = vec![Write::Put { row, when }];
     writes.extend(checks);
--- a/crates/cowslipcross/src/route/journal.rs
+++ b/crates/cowslipcross/src/route/journal.rs
@@ -12,7 +12,7 @@
         order::{OrderEnd, OrderRow, RECORDED_BYTES},
         verdict::{Reason, Verdict},
     },
-    std::time::Duration,
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
     tokio::{sync::oneshot, time::timeout_at},
     xxhash_rust::xxh3::Xxh3,
 };
@@ -55,9 +55,17 @@
     Order {
         id: format!("{}/{id}", job.service).into(),
         row,
+        expires: expires(route),
     }
 }
 
+/// Returns when the table may drop the row of an order that comes now.
+fn expires(route: &Route) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let keep = route.context.settings.limits.order_hours * 3600;
+    now.unwrap_or_default().as_secs() + keep
+}
+
 /// Returns a hash of what the order asks for.
 fn digest(job: &Job) -> u64 {
     let mut hash = Xxh3::new();
--- a/crates/cowslipcross/src/store/ask.rs
+++ b/crates/cowslipcross/src/store/ask.rs
@@ -21,6 +21,8 @@
     pub id: Name,
     /// Row to write.
     pub row: OrderRow,
+    /// Time from which the table may drop the row, in seconds since 1970.
+    pub expires: u64,
 }
 
 /// Whether an order may be sent.
--- a/crates/cowslipcross/src/store/orders.rs
+++ b/crates/cowslipcross/src/store/orders.rs
@@ -107,6 +107,7 @@
         sk: order.id.clone(),
         version,
         body,
+        expires: Some(order.expires),
     };
     Write::Put { row, when }
 }
--- a/crates/cowslipctl/src/store.rs
+++ b/crates/cowslipctl/src/store.rs
@@ -139,6 +139,7 @@
             sk: KEY.1.into(),
             version,
             body: text,
+            expires: None,
         };
         match commit(&self.table, &row, &[]).await {
             Outcome::Done => current(&row),
--- a/crates/platform/src/commit.rs
+++ b/crates/platform/src/commit.rs
@@ -76,5 +76,6 @@
         sk: row.sk.clone(),
         version: seen.version,
         body: seen.body.to_string(),
+        expires: None,
     }
 }
--- a/crates/platform/src/items.rs
+++ b/crates/platform/src/items.rs
@@ -166,6 +166,9 @@
         let version = Attribute::N(row.version.to_string());
         attributes.insert("version".to_owned(), version);
         attributes.insert("body".to_owned(), Attribute::S(row.body.clone()));
+        if let Some(expires) = row.expires {
+            attributes.insert("expires".to_owned(), Attribute::N(expires.to_string()));
+        }
         attributes
     }
 }
@@ -174,6 +177,10 @@
     type Error = Error;
 
     fn try_from(mut attributes: Attributes) -> Result<Self, Error> {
+        let expires = match attributes.remove("expires") {
+            Some(Attribute::N(text)) => text.parse().ok(),
+            _ => None,
+        };
         let mut text = |name: &str| match attributes.remove(name) {
             Some(Attribute::S(text) | Attribute::N(text)) => Ok(text),
             None => Err(Error::Unknown(format!("row without attribute {name:?}"))),
@@ -185,6 +192,7 @@
                 .parse()
                 .map_err(|error| Error::Unknown(format!("attribute \"version\": {error}")))?,
             body: text("body")?,
+            expires,
         })
     }
 }
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -30,6 +30,8 @@
     pub version: u64,
     /// Content as JSON.
     pub body: String,
+    /// Time from which the table may drop the row, in seconds since 1970; `None` keeps it.
+    pub expires: Option<u64>,
 }
 
 /// Condition on the row of an item.
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -27,6 +27,7 @@
         sk: sk.into(),
         version,
         body: body.to_owned(),
+        expires: None,
     }
 }
 
--- a/crates/platform/tests/race.rs
+++ b/crates/platform/tests/race.rs
@@ -52,6 +52,7 @@
         sk: "-".into(),
         version,
         body,
+        expires: None,
     }
 }
 
--- a/crates/settings/src/process/limits.rs
+++ b/crates/settings/src/process/limits.rs
@@ -39,6 +39,8 @@
         retry_percent: 10 in 0..=100 "percent",
         /// Hedged requests as a share of the requests answered.
         hedge_percent: 5 in 0..=100 "percent",
+        /// Time for which the end of an order is kept for its repeats.
+        order_hours: 24 in 1..=8760 "h",
         /// Longest time from the start of a stop to the end of the process.
         stop_ms: 20000 in 100..=600000 "ms",
     }
