--- a/crates/standins/src/bench/drills.rs
+++ b/crates/standins/src/bench/drills.rs
@@ -269,10 +269,12 @@
 /// Prints the time from a withdrawal, or from a target's leaving, until its last new work.
 fn withdrawals(cluster: &Cluster, options: &Options) -> Result<()> {
     let (mut withdrawn, mut left) = (Vec::new(), Vec::new());
+    // The last target stands in the data centre that is withdrawn here.
     let alive: Vec<_> = cluster
         .targets
         .iter()
         .rev()
+        .skip(1)
         .take(options.runs)
         .cloned()
         .collect();
