fix(hold): end the requests at a silent target that has passed to another owner

Cause: in the drills requests at a frozen owner waited for their deadlines (1 s and 100 ms) although the standby served their keys after some 0.5 s; those that may be repeated could have gone there. Change: once the duties have left a silent target, its connections are closed: what was on them may have run, and the route duty sends repeatable ones again. The test of the settled range now also waits for that end; without the change it gets none in 20 s.

--- a/crates/cowslipcross/src/hold/watch.rs
+++ b/crates/cowslipcross/src/hold/watch.rs
@@ -4,6 +4,7 @@
     super::{
         control::Ask,
         desk::{Desk, TICK},
+        links::Link,
         site::Site,
         sites::MOVING,
     },
@@ -106,6 +107,7 @@
         if silent && report {
             self.report_silent(target);
         }
+        self.give_up_on(target, now);
         self.check_barred(target, report, now);
         self.suspect(target, now);
         self.cover(target, now);
@@ -113,6 +115,17 @@
         self.connect(target, now);
     }
 
+    /// Ends the requests at a silent target that has passed to another owner: they may have run,
+    /// and what may be repeated can go to the new owner at once.
+    fn give_up_on(&mut self, target: &str, now: Instant) {
+        let Some(site) = self.sites.get(target) else {
+            return;
+        };
+        if site.duty.is_none() && site.is_silent(now) {
+            site.links.values().for_each(Link::retire);
+        }
+    }
+
     /// Proposes the loss of a target that still has ranges long after it should get no work.
     fn check_barred(&mut self, target: &str, report: bool, now: Instant) {
         let Some(site) = self.sites.get(target).filter(|site| site.duty.is_some()) else {
--- a/crates/cowslipcross/tests/hold.rs
+++ b/crates/cowslipcross/tests/hold.rs
@@ -465,5 +465,9 @@
     fake.record().frozen = true;
     let seq = bench.hold(BTreeMap::new()).await;
     bench.settled(seq).await;
-    drop(end);
+    let outcome = ended(end).await;
+    assert_eq!(
+        end_of(&outcome),
+        (Verdict::MayHaveRun, Some(Reason::Broken))
+    );
 }
