--- a/crates/cowslipcross/src/entry/answer.rs
+++ b/crates/cowslipcross/src/entry/answer.rs
@@ -38,14 +38,6 @@
     outcome
 }
 
-/// Returns the end of a request whose end was lost inside the instance.
-pub fn lost() -> Outcome {
-    let mut outcome = Outcome::not_run(Reason::Broken, Version(0));
-    outcome.verdict = Verdict::MayHaveRun;
-    outcome.status = 502;
-    outcome
-}
-
 /// Returns the end of a request that is not valid.
 pub fn bad(bad: &BadRequest) -> Outcome {
     let mut outcome = Outcome::not_run(Reason::BadRequest, Version(0));
--- a/crates/cowslipcross/src/entry/handler.rs
+++ b/crates/cowslipcross/src/entry/handler.rs
@@ -215,7 +215,9 @@
     let class = (job.service.clone(), job.route.clone());
     let (reply, end) = oneshot::channel();
     let outcome = match entry.route.offer(JobTicket { job, reply }) {
-        Offer::Taken => end.await.unwrap_or_else(|_| answer::lost()),
+        Offer::Taken => end
+            .await
+            .unwrap_or_else(|_| Outcome::may_have_run(Reason::Broken)),
         Offer::Full(_) => answer::refusal(Reason::Overload, answer::BUSY_WAIT),
         Offer::Closed(_) => answer::refusal(Reason::Stopping, Duration::ZERO),
     };
--- a/crates/cowslipcross/src/peer/link.rs
+++ b/crates/cowslipcross/src/peer/link.rs
@@ -14,7 +14,7 @@
     },
     cowslip_decide::{
         names::{Name, Version},
-        verdict::{Reason, Verdict},
+        verdict::Reason,
     },
     cowslip_wire::peer::{self, peer_client::PeerClient, to_holder},
     futures_util::{Stream, StreamExt, future::poll_fn, stream},
@@ -100,7 +100,7 @@
     /// Ends everything that the transport has taken: it may have run.
     fn give_up(&self, reason: Reason) {
         for sent in std::mem::take(&mut *self.lock()).into_values() {
-            let _ = sent.reply.send(may_have_run(reason));
+            let _ = sent.reply.send(Outcome::may_have_run(reason));
         }
     }
 
@@ -115,19 +115,13 @@
             .collect();
         for number in &numbers {
             if let Some(sent) = pending.remove(number) {
-                let _ = sent.reply.send(may_have_run(Reason::Deadline));
+                let _ = sent.reply.send(Outcome::may_have_run(Reason::Deadline));
             }
         }
         numbers
     }
 }
 
-fn may_have_run(reason: Reason) -> Outcome {
-    let mut outcome = Outcome::not_run(reason, Version(0));
-    outcome.verdict = Verdict::MayHaveRun;
-    outcome
-}
-
 /// What one stream to a peer needs.
 struct Line {
     context: Arc<Context>,
@@ -239,7 +233,7 @@
     let Some(end) = message.outcome else { return };
     let number = end.number;
     // An end that cannot be read says nothing of what ran.
-    let outcome = convert::outcome(end).unwrap_or_else(|_| may_have_run(Reason::Broken));
+    let outcome = convert::outcome(end).unwrap_or_else(|_| Outcome::may_have_run(Reason::Broken));
     pending.end(number, outcome);
 }
 
--- a/crates/cowslipcross/src/peer/server.rs
+++ b/crates/cowslipcross/src/peer/server.rs
@@ -9,10 +9,7 @@
         ring::Offer,
         work::{Outcome, Ticket},
     },
-    cowslip_decide::{
-        names::Version,
-        verdict::{Reason, Verdict},
-    },
+    cowslip_decide::{names::Version, verdict::Reason},
     cowslip_wire::peer::{
         self, Ack, FetchAssignmentReply, FetchAssignmentRequest, FetchDocumentReply,
         FetchDocumentRequest, FromHolder, Heartbeat, ToHolder, peer_server::Peer, to_holder,
@@ -206,17 +203,13 @@
     async fn wait(self) -> Outcome {
         match self {
             Self::Now(outcome) => outcome,
-            Self::Later(end) => end.await.unwrap_or_else(|_| lost()),
+            Self::Later(end) => end
+                .await
+                .unwrap_or_else(|_| Outcome::may_have_run(Reason::Broken)),
         }
     }
 }
 
-fn lost() -> Outcome {
-    let mut outcome = Outcome::not_run(Reason::Broken, Version(0));
-    outcome.verdict = Verdict::MayHaveRun;
-    outcome
-}
-
 fn hand_over(server: &Server, attempt: peer::Attempt) -> End {
     let work = match convert::work(attempt, Instant::now()) {
         Ok(work) => work,
--- a/crates/cowslipcross/src/route/drive.rs
+++ b/crates/cowslipcross/src/route/drive.rs
@@ -166,8 +166,8 @@
     }
     match timeout_at(job.deadline + GRACE, end).await {
         Ok(Ok(outcome)) => outcome,
-        Ok(Err(_)) => may_have_run(Reason::Broken),
-        Err(_) => may_have_run(Reason::Deadline),
+        Ok(Err(_)) => Outcome::may_have_run(Reason::Broken),
+        Err(_) => Outcome::may_have_run(Reason::Deadline),
     }
 }
 
@@ -179,13 +179,6 @@
     }
 }
 
-/// Returns the end of an attempt of which nothing more was heard.
-fn may_have_run(reason: Reason) -> Outcome {
-    let mut outcome = Outcome::not_run(reason, Version(0));
-    outcome.verdict = Verdict::MayHaveRun;
-    outcome
-}
-
 /// Counts an attempt as outstanding at its pool.
 struct Outstanding<'a> {
     route: &'a Route,
--- a/crates/cowslipcross/src/work.rs
+++ b/crates/cowslipcross/src/work.rs
@@ -86,6 +86,14 @@
 }
 
 impl Outcome {
+    /// Returns the end of an attempt of which no whole answer came back.
+    pub fn may_have_run(reason: Reason) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            ..Self::not_run(reason, Version(0))
+        }
+    }
+
     /// Returns the end of an attempt that was refused before a byte of it was sent.
     pub fn not_run(reason: Reason, version: Version) -> Self {
         Self {
