refactor(member): leave silent targets to the event of their holder, drop an unused parameter

The holding duty notes a silent target once; the member duty noted it again for each report, also for withdrawn targets that had answered. The version that a configuration is fetched for was passed and never read.

--- a/crates/cowslipcross/src/member/config.rs
+++ b/crates/cowslipcross/src/member/config.rs
@@ -78,11 +78,11 @@
             return;
         }
         self.follow.next = now + self.follow.period;
-        self.fetch_config(None, self.config_version());
+        self.fetch_config(None);
     }
 
     /// Gets the configuration from a peer, or from the platform.
-    pub(super) fn fetch_config(&mut self, from: Option<Name>, _version: Version) {
+    pub(super) fn fetch_config(&mut self, from: Option<Name>) {
         if std::mem::replace(&mut self.follow.busy, true) {
             return;
         }
--- a/crates/cowslipcross/src/member/driver.rs
+++ b/crates/cowslipcross/src/member/driver.rs
@@ -167,17 +167,10 @@
         }
     }
 
+    /// Keeps what the holding duty says of its targets; it notes silent ones itself.
     fn note_report(&mut self, report: &HoldReport) {
-        match report {
-            HoldReport::Settled { .. } => {}
-            HoldReport::Loads(loads) => self.own_loads = loads.clone(),
-            HoldReport::Silent { target } => {
-                let about = About {
-                    target: Some(target.clone()),
-                    ..About::default()
-                };
-                self.context.events.note(events::TARGET_SILENT, about);
-            }
+        if let HoldReport::Loads(loads) = report {
+            self.own_loads = loads.clone();
         }
     }
 
--- a/crates/cowslipcross/src/member/steps.rs
+++ b/crates/cowslipcross/src/member/steps.rs
@@ -35,7 +35,7 @@
             // Acknowledgements go back as answers of calls; see `hear`.
             Step::Ack { .. } => {}
             Step::Fetch { from, .. } => self.fetch(from),
-            Step::FetchConfig { from, version } => self.fetch_config(Some(from), version),
+            Step::FetchConfig { from, .. } => self.fetch_config(Some(from)),
             Step::Duties(duties) => {
                 self.unsent.duties = Some(duties);
                 self.retry_unsent();
