--- /dev/null
+++ b/crates/cowslipcross/src/direct/choose.rs
@@ -0,0 +1,167 @@
+//! The target of the next attempt.
+
+use {
+    super::{
+        context::Context,
+        line::Line,
+        request::Request,
+        view::{Seen, Targets},
+    },
+    cowslip_adapter::config::Service,
+    cowslip_decide::names::Name,
+    std::{rc::Rc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Time for which the owner of a key takes requests after it is known to leave.
+const OWNER_LEAVING: Duration = Duration::from_millis(500);
+/// Part of the bound of a withdrawal for which owners in the data centre take requests.
+const OWNER_WITHDRAWN: f64 = 0.4;
+/// Age at which a reported load says nothing any more.
+const LOAD_AGE: Duration = Duration::from_millis(400);
+/// Time of an answer where none was seen, in seconds.
+const UNKNOWN_PACE: f64 = 0.1;
+/// Time between two looks at something that should change soon.
+const LOOK: Duration = Duration::from_millis(150);
+/// Part of a cold target's rate that all instances use together.
+const COLD_SHARE: f64 = 0.9;
+
+/// What follows for a request.
+pub enum Choice {
+    /// Send it to this target.
+    Send(Rc<Line>, Name),
+    /// Wait for a change, but not longer than this.
+    Wait(Duration),
+    /// No target can take it before this time has passed.
+    Refuse(Duration),
+}
+
+/// Chooses the target of the next attempt; `tried` did not serve the request.
+pub fn choose(context: &Context, request: &Request, tried: &[Name]) -> Choice {
+    let now = Instant::now();
+    let config = context.config.borrow().clone();
+    let service = config
+        .as_ref()
+        .and_then(|it| it.services.get(&request.service));
+    let Some(service) = service else {
+        return Choice::Refuse(LOOK);
+    };
+    let targets = context.targets.borrow().clone();
+    match request.key {
+        Some(key) => owner(context, request, service, (&targets, key), now),
+        None => any(context, request, service, (&targets, tried), now),
+    }
+}
+
+/// Chooses the owner of a key.
+fn owner(
+    context: &Context,
+    request: &Request,
+    service: &Service,
+    (targets, key): (&Targets, u16),
+    now: Instant,
+) -> Choice {
+    let owners = context.owners.borrow();
+    let Some(owners) = owners.get(&request.service) else {
+        return Choice::Wait(LOOK);
+    };
+    let Some(life) = owners.table.piece(key).owner.as_ref() else {
+        return Choice::Wait(LOOK);
+    };
+    let Some(seen) = targets
+        .get(&life.id)
+        .filter(|it| it.target.born == life.born)
+    else {
+        return Choice::Wait(LOOK);
+    };
+    let left = |since: Instant| now - since > OWNER_LEAVING;
+    if seen.leaving.is_some_and(left) || is_withdrawn(context, seen, now, OWNER_WITHDRAWN) {
+        return Choice::Wait(LOOK);
+    }
+    let line = line(context, seen, now);
+    if seen.is_cold(now)
+        && let Err(wait) = cold_token(context, service, &line, now)
+    {
+        return Choice::Refuse(wait);
+    }
+    Choice::Send(line, seen.target.id.clone())
+}
+
+/// Chooses among the targets of an undivided service.
+fn any(
+    context: &Context,
+    request: &Request,
+    service: &Service,
+    (targets, tried): (&Targets, &[Name]),
+    now: Instant,
+) -> Choice {
+    let open: Vec<&Seen> = targets
+        .of(&request.service)
+        .filter(|seen| seen.leaving.is_none() && !is_withdrawn(context, seen, now, 0.0))
+        .filter(|seen| !tried.contains(&seen.target.id))
+        .collect();
+    let warm = open.iter().filter(|seen| !seen.is_cold(now));
+    let best = warm
+        .map(|seen| (line(context, seen, now), seen))
+        .min_by(|(a, _), (b, _)| cost(a, now).total_cmp(&cost(b, now)));
+    if let Some((line, seen)) = best {
+        return Choice::Send(line, seen.target.id.clone());
+    }
+    let mut wait = None;
+    for seen in open {
+        let line = line(context, seen, now);
+        match cold_token(context, service, &line, now) {
+            Ok(()) => return Choice::Send(line, seen.target.id.clone()),
+            Err(time) => wait = Some(wait.map_or(time, |it: Duration| it.min(time))),
+        }
+    }
+    wait.map_or(Choice::Wait(LOOK), Choice::Refuse)
+}
+
+/// Returns the time that a request would likely take at a target, in seconds.
+fn cost(line: &Line, now: Instant) -> f64 {
+    let pace = line.pace.get().unwrap_or(UNKNOWN_PACE);
+    let mut queue = f64::from(line.running.get());
+    let mut slots = 2.0;
+    if let Some((load, at)) = line.load.get() {
+        let age = (now - at).as_secs_f64() / LOAD_AGE.as_secs_f64();
+        let told = f64::from(load.running + load.waiting) * (-age).exp();
+        queue = queue.max(told);
+        slots = f64::from(load.slots.max(1));
+    }
+    let avoided = if line.is_avoided(now) { 10.0 } else { 1.0 };
+    // Equal targets get equal parts.
+    let luck = 0.9 + 0.2 * rand::random::<f64>();
+    pace * (1.0 + queue / slots) * avoided * luck
+}
+
+/// Takes this instance's part of the rate that a cold target bears.
+fn cold_token(
+    context: &Context,
+    service: &Service,
+    line: &Line,
+    now: Instant,
+) -> Result<(), Duration> {
+    let rate = service.cold_rate * COLD_SHARE / f64::from(context.instances.get().max(1));
+    line.tokens.borrow_mut().take(rate, now)
+}
+
+/// Returns whether the target's data centre is withdrawn for longer than a part of the bound.
+fn is_withdrawn(context: &Context, seen: &Seen, now: Instant, part: f64) -> bool {
+    let withdrawn = context.withdrawn.borrow();
+    let limit = context.bounds.borrow().withdrawal.mul_f64(part);
+    let since = withdrawn.get(&seen.target.data_centre);
+    since.is_some_and(|since| now - *since >= limit)
+}
+
+/// Returns the connections to the present run of a target.
+fn line(context: &Context, seen: &Seen, now: Instant) -> Rc<Line> {
+    let mut lines = context.lines.borrow_mut();
+    let id = &seen.target.id;
+    if let Some(line) = lines.get(id).filter(|line| line.is_to(&seen.target)) {
+        return line.clone();
+    }
+    let line = Rc::new(Line::new(&seen.target, now));
+    lines.insert(id.clone(), line.clone());
+    line
+}
--- /dev/null
+++ b/crates/cowslipcross/src/direct/context.rs
@@ -0,0 +1,231 @@
+//! What the tasks of an instance share.
+
+use {
+    super::{
+        clock,
+        keep::Reports,
+        line::Line,
+        metrics::Metrics,
+        route::Routes,
+        settings::{Bounds, Settings},
+        view::Targets,
+    },
+    crate::events::{About, Code, Events, Origin, logger},
+    cowslip_adapter::{config::Config, store::Store},
+    cowslip_decide::{
+        lead::Lead,
+        names::{Incarnation, Name},
+        owners::Table,
+        share::{Bound, Share},
+        split::Dealer,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        net::UdpSocket,
+        sync::{Mutex, Notify},
+        time::Instant,
+    },
+};
+
+/// Lease of the leader.
+const TERM: Duration = Duration::from_millis(2400);
+/// Instances that are assumed until the leader tells their number; a high one makes shares small.
+const UNKNOWN_INSTANCES: u32 = 24;
+/// Events that are kept for operators.
+const EVENTS: usize = 512;
+
+/// Owners of a service's keys as they were recorded.
+#[derive(Clone, Debug)]
+pub struct Owners {
+    /// Version of the row.
+    pub version: u64,
+    /// Owners.
+    pub table: Rc<Table>,
+}
+
+/// Keys of requests since the last report, by service.
+pub type Sample = BTreeMap<Name, BTreeMap<u16, u32>>;
+
+/// What the tasks of an instance share.
+pub struct Context {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Bounds, which a reload replaces.
+    pub bounds: RefCell<Bounds>,
+    /// Run of this instance; rows that it wrote bear it.
+    pub run: String,
+    /// Events.
+    pub events: Events,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Store for reads that wait for changes.
+    pub feed: Store,
+    /// Store for reads of targets.
+    pub lists: Store,
+    /// Store for reads and writes of the project's own rows.
+    pub rows: Store,
+    /// Lets one write of the project's own rows after another.
+    pub writing: Mutex<()>,
+    /// Configuration in force.
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// Routes in force.
+    pub routes: RefCell<Rc<Routes>>,
+    /// Targets as this instance sees them.
+    pub targets: RefCell<Rc<Targets>>,
+    /// Withdrawn data centres and since when this instance knows it.
+    pub withdrawn: RefCell<BTreeMap<Name, Instant>>,
+    /// Owners of keys by service.
+    pub owners: RefCell<BTreeMap<Name, Owners>>,
+    /// Connections and load by target.
+    pub lines: RefCell<BTreeMap<Name, Rc<Line>>>,
+    /// Retries by service.
+    pub shares: RefCell<BTreeMap<Name, Share>>,
+    /// Distribution of each route's requests by weight.
+    pub dealers: RefCell<BTreeMap<Name, Dealer>>,
+    /// Leadership.
+    pub lead: RefCell<Lead>,
+    /// Socket for datagrams of other instances.
+    pub beats: UdpSocket,
+    /// Address of the leader.
+    pub leader: Cell<Option<SocketAddr>>,
+    /// Time of the leader's last heartbeat.
+    pub heard: Cell<Option<Instant>>,
+    /// Instances that the leader hears of.
+    pub instances: Cell<u32>,
+    /// Since when this instance is the leader.
+    pub leading: Cell<Option<Instant>>,
+    /// Keys of requests since the last report.
+    pub sample: RefCell<Sample>,
+    /// What other instances report; of use to the leader.
+    pub reports: RefCell<Reports>,
+    /// Told when targets, owners or withdrawals change.
+    pub changed: Notify,
+    /// Told when the recorded owners have to be read.
+    pub refresh: Notify,
+    /// Told when the leader has something to do.
+    pub work: Notify,
+    /// Time of the stop signal.
+    pub stopping: Cell<Option<Instant>>,
+    /// Requests in progress.
+    pub active: Cell<usize>,
+}
+
+impl Context {
+    /// Creates the context of an instance that knows nothing yet.
+    ///
+    /// # Errors
+    /// Fails if the log cannot be opened.
+    pub fn new(settings: Settings, beats: UdpSocket) -> eyre::Result<Self> {
+        let now = Instant::now();
+        let incarnation = Incarnation(since_epoch().as_micros() as u64);
+        let origin = Origin {
+            process: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation,
+        };
+        let logger = logger::stdout(spdlog::Level::Info)?;
+        Ok(Self {
+            bounds: RefCell::new(settings.bounds.clone()),
+            run: format!("{}-{:x}", settings.name, rand::random::<u64>()),
+            events: Events::json(origin, EVENTS, logger),
+            metrics: Metrics::default(),
+            feed: Store::new(settings.store),
+            lists: Store::new(settings.store),
+            rows: Store::new(settings.store),
+            writing: Mutex::new(()),
+            config: RefCell::default(),
+            routes: RefCell::default(),
+            targets: RefCell::new(Rc::new(Targets::empty(now))),
+            withdrawn: RefCell::default(),
+            owners: RefCell::default(),
+            lines: RefCell::default(),
+            shares: RefCell::default(),
+            dealers: RefCell::default(),
+            lead: RefCell::new(Lead::new(TERM)),
+            beats,
+            leader: Cell::new(None),
+            heard: Cell::new(None),
+            instances: Cell::new(UNKNOWN_INSTANCES),
+            leading: Cell::new(None),
+            sample: RefCell::default(),
+            reports: RefCell::default(),
+            changed: Notify::new(),
+            refresh: Notify::new(),
+            work: Notify::new(),
+            stopping: Cell::new(None),
+            active: Cell::new(0),
+            settings,
+        })
+    }
+
+    /// Records an event that is about nothing in particular.
+    pub fn note(&self, code: Code, detail: String) {
+        let about = About {
+            detail: Some(detail),
+            ..About::default()
+        };
+        self.events.note(code, about);
+    }
+
+    /// Returns whether this instance may act as leader now.
+    pub fn leads(&self) -> bool {
+        self.lead.borrow().leads(clock::moment())
+    }
+
+    /// Counts a request of a caller for the share of retries.
+    pub fn count_request(&self, service: &Name) {
+        let now = Instant::now();
+        let bound = self.retry_bound();
+        let mut shares = self.shares.borrow_mut();
+        let share = shares
+            .entry(service.clone())
+            .or_insert_with(|| Share::new(now));
+        share.request(&bound, now);
+    }
+
+    /// Takes one repeated send to a service out of this instance's share.
+    pub fn may_repeat(&self, service: &Name) -> bool {
+        let now = Instant::now();
+        let bound = self.retry_bound();
+        let instances = self.instances.get();
+        let mut shares = self.shares.borrow_mut();
+        let share = shares
+            .entry(service.clone())
+            .or_insert_with(|| Share::new(now));
+        share.repeat(&bound, instances, now)
+    }
+
+    /// Returns whether the instance can serve: it knows the configuration, the targets and, where
+    /// keys have owners, these.
+    pub fn ready(&self) -> bool {
+        let Some(config) = self.config.borrow().clone() else {
+            return false;
+        };
+        let owners = self.owners.borrow();
+        let mut divided = config.services.iter().filter(|(_, it)| it.divided);
+        let owned = divided.all(|(name, _)| owners.contains_key(name));
+        owned && self.targets.borrow().known() && self.stopping.get().is_none()
+    }
+
+    fn retry_bound(&self) -> Bound {
+        let bounds = self.bounds.borrow();
+        Bound {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        }
+    }
+}
+
+/// Returns the time since 1970.
+fn since_epoch() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cowslipcross/src/direct/deliver.rs
@@ -0,0 +1,288 @@
+//! The attempts of a request, up to the answer for its caller.
+
+use {
+    super::{
+        answer::{Answer, Refusal},
+        choose::{Choice, choose},
+        context::Context,
+        exchange::{self, End},
+        line::{Line, NoLink},
+        request::Request,
+    },
+    crate::events::{self, About, Code},
+    cowslip_decide::{
+        names::Name,
+        verdict::{Reason, Verdict},
+    },
+    std::{rc::Rc, time::Duration},
+    tokio::{
+        task::spawn_local,
+        time::{Instant, sleep_until, timeout_at},
+    },
+};
+
+/// Part of the time left for which a request waits for an owner of its key.
+const OWNER_WAIT: f64 = 0.4;
+/// Longest wait for an owner of a key.
+const LONGEST_WAIT: Duration = Duration::from_millis(1200);
+/// Wait before the owner of a key that shed a request is asked again.
+const SHED_WAIT: Duration = Duration::from_millis(120);
+/// Wait before another connection to the owner of a key is tried.
+const LINK_WAIT: Duration = Duration::from_millis(100);
+/// Time after which callers come back where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(400);
+/// Refused sends of one request after which its caller gets the refusal.
+const MOST_REFUSED: u32 = 3;
+
+/// What has become of a request so far.
+#[derive(Debug, Default)]
+struct Course {
+    /// Targets that it was sent to.
+    tried: Vec<Name>,
+    /// Sends that may have run.
+    run: u32,
+    /// Sends that the target refused, or that did not leave.
+    refused: u32,
+    /// Since when it waits for an owner.
+    waiting: Option<Instant>,
+}
+
+/// What follows the end of an attempt.
+enum Next {
+    Answer(Answer),
+    /// Choose again, at this time.
+    Again(Instant),
+    /// Choose again when something has changed.
+    Change(Duration),
+}
+
+/// Sends a request until it is answered or given up.
+pub async fn deliver(context: Rc<Context>, request: Rc<Request>) -> Answer {
+    context.count_request(&request.service);
+    let mut course = Course::default();
+    loop {
+        if Instant::now() >= request.deadline {
+            return given_up(&course, Reason::Deadline);
+        }
+        match choose(&context, &request, &course.tried) {
+            Choice::Refuse(wait) => return refuse(Reason::Overload, wait),
+            Choice::Wait(look) => {
+                if let Some(answer) = wait(&context, &request, &mut course, look).await {
+                    return answer;
+                }
+            }
+            Choice::Send(line, target) => {
+                course.waiting = None;
+                let end = attempt(&context, &request, line, &target).await;
+                let next = after(&context, &request, &mut course, &target, end);
+                match next {
+                    Next::Answer(answer) => return answer,
+                    Next::Again(at) => sleep_until(at).await,
+                    Next::Change(look) => {
+                        if let Some(answer) = wait(&context, &request, &mut course, look).await {
+                            return answer;
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Waits for a change; returns the refusal of a request that has waited long enough.
+async fn wait(
+    context: &Context,
+    request: &Request,
+    course: &mut Course,
+    look: Duration,
+) -> Option<Answer> {
+    let now = Instant::now();
+    let since = *course.waiting.get_or_insert(now);
+    let left = request.deadline.saturating_duration_since(since);
+    let end = since + left.mul_f64(OWNER_WAIT).min(LONGEST_WAIT);
+    if now >= end {
+        return Some(match course.run {
+            0 => refuse(Reason::NoOwner, COME_BACK),
+            _ => given_up(course, Reason::NoOwner),
+        });
+    }
+    let changed = context.changed.notified();
+    // A timeout only means that it is time to look again.
+    let _ = timeout_at(end.min(now + look), changed).await;
+    None
+}
+
+/// Sends a request once.
+///
+/// One that may not be repeated goes on at its target when its caller leaves.
+async fn attempt(
+    context: &Rc<Context>,
+    request: &Rc<Request>,
+    line: Rc<Line>,
+    target: &Name,
+) -> End {
+    let most = connections(context, request);
+    let run = exchange::run(line, target.clone(), request.clone(), most);
+    if request.route.repeatable {
+        return run.await;
+    }
+    let ended = spawn_local(run).await;
+    ended.unwrap_or(End::Broken("attempt ended"))
+}
+
+/// Returns how many connections this instance may have to one target of the service.
+fn connections(context: &Context, request: &Request) -> u32 {
+    let config = context.config.borrow();
+    let service = config
+        .as_ref()
+        .and_then(|it| it.services.get(&request.service));
+    let all = service.map_or(1, |it| it.connections.min(10_000) as u32);
+    (all / context.instances.get().max(1)).max(2)
+}
+
+/// Decides what follows the end of an attempt.
+fn after(
+    context: &Context,
+    request: &Request,
+    course: &mut Course,
+    target: &Name,
+    end: End,
+) -> Next {
+    let now = Instant::now();
+    context.metrics.ended(&request.service, &end);
+    match end {
+        End::Whole(whole) => {
+            let failed = whole.status.is_server_error() && request.route.repeatable;
+            course.run += 1;
+            if failed && again(context, request, course, target) {
+                return Next::Again(now);
+            }
+            Next::Answer(Answer::Whole(whole))
+        }
+        End::Unrun(signs) if signs.misdirected && request.key.is_some() => {
+            note(context, events::WRONG_OWNER, request, target, "owner moved");
+            context.refresh.notify_one();
+            course.refused += 1;
+            if course.refused > 2 * MOST_REFUSED || !context.may_repeat(&request.service) {
+                return Next::Answer(refuse(Reason::NoOwner, COME_BACK));
+            }
+            Next::Change(LINK_WAIT)
+        }
+        End::Unrun(_) => {
+            note(context, events::TARGET_SHED, request, target, "refused");
+            course.refused += 1;
+            if course.refused > MOST_REFUSED || !context.may_repeat(&request.service) {
+                return Next::Answer(end_unrun(course, Reason::Shed));
+            }
+            match request.key {
+                Some(_) => Next::Again(now + SHED_WAIT),
+                None => {
+                    course.tried.push(target.clone());
+                    Next::Again(now)
+                }
+            }
+        }
+        End::Unsent(cause) => {
+            note(
+                context,
+                events::NO_CONNECTION,
+                request,
+                target,
+                cause.text(),
+            );
+            course.refused += 1;
+            if course.refused > 2 * MOST_REFUSED {
+                return Next::Answer(end_unrun(course, Reason::Broken));
+            }
+            match request.key {
+                Some(_) => Next::Again(now + LINK_WAIT),
+                None => {
+                    course.tried.push(target.clone());
+                    Next::Again(now)
+                }
+            }
+        }
+        End::Broken(cause) => {
+            note(context, events::MAY_HAVE_RUN, request, target, cause);
+            course.run += 1;
+            if request.route.repeatable && again(context, request, course, target) {
+                return Next::Again(now);
+            }
+            Next::Answer(Answer::Failed(Reason::Broken))
+        }
+        End::Late => {
+            note(
+                context,
+                events::MAY_HAVE_RUN,
+                request,
+                target,
+                "deadline passed",
+            );
+            Next::Answer(Answer::TimedOut)
+        }
+    }
+}
+
+/// Returns whether a repeatable request goes out once more, and notes where it was.
+fn again(context: &Context, request: &Request, course: &mut Course, target: &Name) -> bool {
+    if course.run >= request.route.attempts || !context.may_repeat(&request.service) {
+        return false;
+    }
+    if request.key.is_none() {
+        course.tried.push(target.clone());
+    }
+    note(context, events::RETRY, request, target, "repeatable");
+    true
+}
+
+fn end_unrun(course: &Course, reason: Reason) -> Answer {
+    match course.run {
+        0 => refuse(reason, COME_BACK),
+        _ => Answer::Failed(reason),
+    }
+}
+
+/// Returns the answer to a request that is not sent any more.
+fn given_up(course: &Course, reason: Reason) -> Answer {
+    match course.run {
+        0 => refuse(reason, COME_BACK),
+        _ => Answer::TimedOut,
+    }
+}
+
+fn refuse(reason: Reason, wait: Duration) -> Answer {
+    Answer::Refused(Refusal {
+        verdict: Verdict::NotRun,
+        reason,
+        wait,
+    })
+}
+
+fn note(context: &Context, code: Code, request: &Request, target: &Name, cause: &str) {
+    let detail = format!(
+        "{cause}, service {}, {} ms left",
+        request.service,
+        request
+            .deadline
+            .saturating_duration_since(Instant::now())
+            .as_millis()
+    );
+    let about = About {
+        request: request.id.to_str().ok().map(Name::from),
+        key: request.key.map(|key| key.to_string().into()),
+        target: Some(target.clone()),
+        detail: Some(detail),
+        ..About::default()
+    };
+    context.events.note(code, about);
+}
+
+impl NoLink {
+    /// Returns the cause in words.
+    fn text(self) -> &'static str {
+        match self {
+            Self::Full => "as many connections as the target may have",
+            Self::Failed => "no connection",
+        }
+    }
+}
--- /dev/null
+++ b/crates/cowslipcross/src/direct/entry.rs
@@ -0,0 +1,203 @@
+//! Callers' connections and the requests on them.
+
+use {
+    super::{
+        answer::{self, Answer, Body},
+        context::Context,
+        deliver::deliver,
+        request::{self, BadRequest, Request},
+    },
+    crate::events::{self, About},
+    cowslip_adapter::headers,
+    cowslip_decide::names::Name,
+    http::{HeaderValue, Response, header},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{
+        cell::{Cell, RefCell},
+        convert::Infallible,
+        future::poll_fn,
+        pin::pin,
+        rc::Rc,
+        task::Poll,
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        task::spawn_local,
+        time::{Instant, sleep},
+    },
+};
+
+/// Pause after a connection could not be accepted, for want of descriptors for example.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Bytes of a head that the library needs at least.
+const LEAST_HEAD: usize = 8 << 10;
+
+/// Open connections of callers.
+#[derive(Clone, Default)]
+pub struct Conns(Rc<Shared>);
+
+struct Shared {
+    count: Cell<usize>,
+    close: RefCell<watch::Sender<bool>>,
+}
+
+impl Default for Shared {
+    fn default() -> Self {
+        Self {
+            count: Cell::new(0),
+            close: RefCell::new(watch::channel(false).0),
+        }
+    }
+}
+
+impl Conns {
+    /// Returns how many are open.
+    pub fn count(&self) -> usize {
+        self.0.count.get()
+    }
+
+    /// Closes each as soon as no request is on it.
+    pub fn close(&self) {
+        self.0.close.borrow().send_replace(true);
+    }
+}
+
+/// Counts a request in progress until this is dropped.
+struct Active<'a>(&'a Context);
+
+impl<'a> Active<'a> {
+    fn new(context: &'a Context) -> Self {
+        context.active.set(context.active.get() + 1);
+        Self(context)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get().saturating_sub(1));
+    }
+}
+
+/// Accepts connections for ever.
+pub async fn accept(context: Rc<Context>, listener: TcpListener, conns: Conns) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(spawn_local(serve(context.clone(), stream, conns.clone()))),
+            Err(error) => {
+                context.note(events::CONNECTION_REFUSED, error.to_string());
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection until it ends, or until it is idle during a stop.
+async fn serve(context: Rc<Context>, stream: TcpStream, conns: Conns) {
+    if let Err(error) = stream.set_nodelay(true) {
+        context.note(events::CONNECTION_REFUSED, error.to_string());
+        return;
+    }
+    conns.0.count.set(conns.count() + 1);
+    let mut close = conns.0.close.borrow().subscribe();
+    let config = context.config.borrow().clone();
+    let limits = config.map(|it| it.limits.clone()).unwrap_or_default();
+    let service = service_fn(|request| {
+        let context = context.clone();
+        async move { Ok::<_, Infallible>(handle(context, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut closing = pin!(close.wait_for(|close| *close));
+    let mut told = false;
+    // The end of a connection, whatever its cause, needs nothing but its place.
+    let _ = poll_fn(|task| {
+        if !told && closing.as_mut().poll(task).is_ready() {
+            told = true;
+            connection.as_mut().graceful_shutdown();
+        }
+        match connection.as_mut().poll(task) {
+            Poll::Ready(end) => Poll::Ready(end),
+            Poll::Pending => Poll::Pending,
+        }
+    })
+    .await;
+    conns.0.count.set(conns.count().saturating_sub(1));
+}
+
+/// Answers one request.
+async fn handle(context: Rc<Context>, request: http::Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    let _active = Active::new(&context);
+    let (parts, body) = request.into_parts();
+    let id = parts.headers.get(&headers::REQUEST_ID).cloned();
+    let mut response = match request::read(&context, parts, body, arrived).await {
+        Ok(request) => answered(&context, Rc::new(request)).await,
+        Err(bad) => refused(&context, &bad, id),
+    };
+    if context.stopping.get().is_some() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answered(context: &Rc<Context>, request: Rc<Request>) -> Response<Body> {
+    count_key(context, &request);
+    let answer = deliver(context.clone(), request.clone()).await;
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    note(context, &request, &answer);
+    answer.response(&request.id, left)
+}
+
+fn refused(context: &Context, bad: &BadRequest, id: Option<HeaderValue>) -> Response<Body> {
+    context.metrics.bad(bad);
+    let about = About {
+        request: id.as_ref().and_then(|id| id.to_str().ok()).map(Name::from),
+        detail: Some(format!("{}: {}", bad.status(), bad.text())),
+        ..About::default()
+    };
+    context.events.note(events::BAD_REQUEST, about);
+    let mut response = answer::bad(bad);
+    if let Some(id) = id {
+        response.headers_mut().insert(headers::REQUEST_ID, id);
+    }
+    response
+}
+
+/// Counts the key for the leader, which spreads keys by their load.
+fn count_key(context: &Context, request: &Request) {
+    if let Some(key) = request.key {
+        let mut sample = context.sample.borrow_mut();
+        let keys = sample.entry(request.service.clone()).or_default();
+        *keys.entry(key).or_default() += 1;
+    }
+}
+
+fn note(context: &Context, request: &Request, answer: &Answer) {
+    let time = request.arrived.elapsed();
+    context.metrics.answered(&request.route, answer, time);
+    let Some(reason) = answer.reason() else {
+        return;
+    };
+    let about = About {
+        request: request.id.to_str().ok().map(Name::from),
+        key: request.key.map(|key| key.to_string().into()),
+        detail: Some(format!(
+            "{}, {}, route {}, service {}, after {} ms",
+            answer.verdict(),
+            reason.as_str(),
+            request.route.name,
+            request.service,
+            time.as_millis()
+        )),
+        ..About::default()
+    };
+    context.events.note(events::UNSERVED, about);
+}
--- /dev/null
+++ b/crates/cowslipcross/src/direct/exchange.rs
@@ -0,0 +1,199 @@
+//! One request on one connection to a target, up to its whole answer or to what was seen instead.
+
+use {
+    super::{
+        line::{Line, Link, NoLink},
+        request::Request,
+    },
+    bytes::Bytes,
+    cowslip_adapter::headers::{self, Signs},
+    cowslip_decide::names::Name,
+    http::{HeaderMap, HeaderValue, Response, StatusCode, header},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::body::Incoming,
+    std::{rc::Rc, time::Duration},
+    tokio::time::{Instant, timeout_at},
+};
+
+/// Body of every request to a target.
+pub type Body = Full<Bytes>;
+
+/// Longest answer that is passed on, in bytes.
+const LONGEST_ANSWER: usize = 32 << 20;
+/// Time beyond the deadline that a target may take for its own last word on a request that may not
+/// be repeated.
+const LAST_WORD: Duration = Duration::from_millis(120);
+
+/// Whole answer of a target.
+#[derive(Clone, Debug)]
+pub struct Whole {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// The target answered.
+    Whole(Whole),
+    /// The target says that it did not run the request.
+    Unrun(Signs),
+    /// No byte left: there was no connection.
+    Unsent(NoLink),
+    /// Bytes may have left, and no whole answer came.
+    Broken(&'static str),
+    /// Bytes may have left, and the deadline passed.
+    Late,
+}
+
+/// Counts a request at its target until this is dropped.
+struct Running<'a>(&'a Line);
+
+impl<'a> Running<'a> {
+    fn new(line: &'a Line) -> Self {
+        line.running.set(line.running.get() + 1);
+        Self(line)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get().saturating_sub(1));
+    }
+}
+
+/// A connection in use; it counts as closed unless it is kept.
+struct Used<'a> {
+    line: &'a Line,
+    link: Option<Link>,
+}
+
+impl Drop for Used<'_> {
+    fn drop(&mut self) {
+        if self.link.take().is_some() {
+            self.line.closed();
+        }
+    }
+}
+
+/// Sends a request to a target and waits for its whole answer.
+pub async fn run(line: Rc<Line>, target: Name, request: Rc<Request>, most: u32) -> End {
+    let _running = Running::new(&line);
+    let last = match request.route.repeatable {
+        true => request.deadline,
+        false => request.deadline + LAST_WORD,
+    };
+    let begun = Instant::now();
+    let mut first = line.reuse();
+    loop {
+        let (link, reused) = match first.take() {
+            Some(link) => (link, true),
+            None => match timeout_at(request.deadline, line.open(most)).await {
+                Ok(Ok(link)) => (link, false),
+                Ok(Err(cause)) => return End::Unsent(cause),
+                Err(_) => return End::Unsent(NoLink::Failed),
+            },
+        };
+        let used = Used {
+            line: &line,
+            link: Some(link),
+        };
+        let Some(message) = message(&request, &target) else {
+            return End::Unsent(NoLink::Failed);
+        };
+        match timeout_at(last, send(used, message, &request)).await {
+            // The connection had ended while it was idle: nothing left on it.
+            Ok(None) if reused => first = line.reuse(),
+            Ok(None) => return End::Unsent(NoLink::Failed),
+            Ok(Some(end)) => {
+                if matches!(end, End::Whole(_)) {
+                    line.answered(begun.elapsed());
+                }
+                return end;
+            }
+            Err(_) => return End::Late,
+        }
+    }
+}
+
+fn message(request: &Request, target: &Name) -> Option<http::Request<Body>> {
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    let mut message = http::Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.path.parse().ok()?;
+    *message.headers_mut() = request.headers.clone();
+    let headers = message.headers_mut();
+    headers.insert(
+        headers::DEADLINE,
+        HeaderValue::from(left.as_millis() as u64),
+    );
+    headers.insert(headers::ONLY_TARGET, HeaderValue::from_str(target).ok()?);
+    if !request.body.is_empty() {
+        headers.insert(
+            header::CONTENT_LENGTH,
+            HeaderValue::from(request.body.len()),
+        );
+    }
+    Some(message)
+}
+
+/// Returns `None` if the connection had ended before any byte left.
+async fn send(mut used: Used<'_>, message: http::Request<Body>, request: &Request) -> Option<End> {
+    let sender = &mut used.link.as_mut()?.sender;
+    if sender.ready().await.is_err() {
+        return None;
+    }
+    let answer = match sender.try_send_request(message).await {
+        Ok(answer) => answer,
+        Err(mut error) => {
+            return match error.take_message() {
+                Some(_) => None,
+                None => Some(End::Broken("connection broke before the answer")),
+            };
+        }
+    };
+    let signs = headers::signs(answer.status(), answer.headers());
+    if !headers::belongs(answer.headers(), &request.id) && !signs.unrun {
+        return Some(End::Broken("answer to another request"));
+    }
+    if let Some(load) = signs.load {
+        used.line.load.set(Some((load, Instant::now())));
+    }
+    let whole = whole(answer).await;
+    let Some(whole) = whole else {
+        return Some(match signs.unrun {
+            true => End::Unrun(signs),
+            false => End::Broken("answer ended early"),
+        });
+    };
+    if let Some(link) = used.link.take() {
+        match signs.closes {
+            true => used.line.closed(),
+            false => used.line.keep(link, signs.keep),
+        }
+    }
+    if signs.unrun {
+        return Some(End::Unrun(signs));
+    }
+    if whole.status.is_success() && !signs.signed {
+        return Some(End::Broken("answer without a signature"));
+    }
+    Some(End::Whole(whole))
+}
+
+/// Returns the whole answer, or `None` if it ended early or is too long.
+async fn whole(answer: Response<Incoming>) -> Option<Whole> {
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, LONGEST_ANSWER).collect().await.ok()?;
+    let mut headers = headers::end_to_end(&head.headers);
+    headers.remove(header::CONTENT_LENGTH);
+    Some(Whole {
+        status: head.status,
+        headers,
+        body: body.to_bytes(),
+    })
+}
--- /dev/null
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -0,0 +1,443 @@
+//! The leader's duty: it keeps every key with one target, and spreads keys by their load.
+
+use {
+    super::{
+        beat::{self, Members},
+        context::Context,
+        follow,
+        seat::{self, Recorded},
+    },
+    crate::events::{self, About},
+    cowslip_adapter::{
+        Error,
+        http::Client,
+        orders::{self, Grant, Granted},
+    },
+    cowslip_decide::{
+        names::Name,
+        owners::{
+            Candidate, Capacity, Done, Keeper, Life, Loads, Order, Table, Timing, balance,
+            least_loaded,
+        },
+    },
+    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        task::spawn_local,
+        time::{Instant, timeout},
+    },
+};
+
+/// Period in which the leader looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Hold of a grant.
+const HOLD: Duration = Duration::from_millis(4000);
+/// Time after which a grant is renewed.
+const RENEWAL: Duration = Duration::from_millis(900);
+/// Time after which an order that failed is sent again.
+const RETRY: Duration = Duration::from_millis(150);
+/// Longest time for the answer to a grant.
+const GRANT_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time for the answer to a release, which waits for the work on the keys.
+const RELEASE_LIMIT: Duration = Duration::from_millis(2500);
+/// Period of heartbeats.
+const BEAT: Duration = Duration::from_millis(500);
+/// Time for which the first targets are awaited before keys are given out.
+const GATHER: Duration = Duration::from_millis(1200);
+/// Period in which keys are spread anew.
+const BALANCE: Duration = Duration::from_millis(1000);
+/// Most transfers that are begun at a time.
+const TRANSFERS: usize = 3;
+
+/// What a leader knows beyond the store; another instance's is empty.
+#[derive(Default)]
+pub struct Desk {
+    services: BTreeMap<Name, Service>,
+    clients: BTreeMap<SocketAddr, Rc<Client>>,
+}
+
+/// One divided service as its leader keeps it.
+struct Service {
+    keeper: Keeper,
+    /// Version of the recorded owners; 0 if there is no row.
+    version: u64,
+    /// Table whose record got no answer.
+    pending: Option<Table>,
+    begun: Instant,
+    balanced: Instant,
+}
+
+/// What other instances report.
+#[derive(Debug, Default)]
+pub struct Reports {
+    /// Load of keys by service.
+    loads: BTreeMap<Name, Loads>,
+    /// Instances that report it.
+    pub members: Members,
+}
+
+/// Takes the load of keys that another instance reports.
+pub fn report(context: &Context, from: SocketAddr, keys: &BTreeMap<Name, Vec<(u16, u32)>>) {
+    let mut reports = context.reports.borrow_mut();
+    reports.members.insert(from, Instant::now());
+    for (service, keys) in keys {
+        let loads = reports.loads.entry(service.clone()).or_default();
+        for (key, requests) in keys {
+            loads.add(*key, f64::from(*requests));
+        }
+    }
+}
+
+/// Acts as leader whenever this instance is.
+pub async fn keep(context: Rc<Context>) {
+    let desk = Rc::new(RefCell::new(Desk::default()));
+    let mut beaten = Instant::now();
+    loop {
+        // Either the tick is over or there is something to do.
+        let _ = timeout(TICK, context.work.notified()).await;
+        if !context.leads() {
+            desk.borrow_mut().services.clear();
+            // Without duties there is nothing to look at so often.
+            let _ = timeout(4 * TICK, context.work.notified()).await;
+            continue;
+        }
+        let mut changed = false;
+        for service in divided(&context) {
+            changed |= turn(&context, &desk, &service).await;
+        }
+        if changed || beaten.elapsed() >= BEAT {
+            beaten = Instant::now();
+            beat::beat(&context).await;
+        }
+    }
+}
+
+/// Returns the services whose keys have owners.
+fn divided(context: &Context) -> Vec<Name> {
+    let config = context.config.borrow();
+    let services = config.iter().flat_map(|config| &config.services);
+    let divided = services.filter(|(_, service)| service.divided);
+    divided.map(|(name, _)| name.clone()).collect()
+}
+
+/// Looks after one service; returns whether its recorded owners changed.
+async fn turn(context: &Rc<Context>, desk: &Rc<RefCell<Desk>>, name: &Name) -> bool {
+    if !adopted(context, desk, name) {
+        return false;
+    }
+    let now = Instant::now();
+    let all = follow::usable(context, name);
+    let capacity = capacity(&all);
+    {
+        let mut desk = desk.borrow_mut();
+        let Some(service) = desk.services.get_mut(name) else {
+            return false;
+        };
+        if capacity.is_empty() && service.begun.elapsed() < GATHER {
+            return false;
+        }
+        let candidates = all.iter().map(|(id, (born, open, _))| {
+            let candidate = Candidate {
+                born: *born,
+                usable: *open,
+            };
+            (id.clone(), candidate)
+        });
+        service.keeper.review(&candidates.collect(), now);
+        spread(context, service, name, &capacity);
+    }
+    let changed = record(context, desk, name, (&all, &capacity)).await;
+    send(context, desk, name);
+    changed
+}
+
+/// Takes the service over after this instance became leader; returns whether it is known.
+fn adopted(context: &Context, desk: &RefCell<Desk>, name: &Name) -> bool {
+    let now = Instant::now();
+    let mut desk = desk.borrow_mut();
+    if let Some(service) = desk.services.get(name) {
+        // What was recorded without an answer shows in the next read.
+        let Some(pending) = service.pending.clone() else {
+            return true;
+        };
+        return settle(context, &mut desk, name, &pending);
+    }
+    let owners = context.owners.borrow().get(name).cloned();
+    let table = owners
+        .as_ref()
+        .map_or_else(Table::default, |it| (*it.table).clone());
+    let max_hold = context.bounds.borrow().max_hold;
+    let timing = Timing {
+        hold: HOLD.min(max_hold),
+        long_hold: max_hold,
+        max_hold,
+        renewal: RENEWAL,
+        retry: RETRY,
+        flight: GRANT_LIMIT,
+    };
+    let service = Service {
+        keeper: Keeper::new(&table, timing, now),
+        version: owners.map_or(0, |it| it.version),
+        pending: None,
+        begun: now,
+        balanced: now,
+    };
+    desk.services.insert(name.clone(), service);
+    true
+}
+
+/// Finds out whether a record without an answer is in the store.
+fn settle(context: &Context, desk: &mut Desk, name: &Name, pending: &Table) -> bool {
+    let owners = context.owners.borrow().get(name).cloned();
+    let Some(service) = desk.services.get_mut(name) else {
+        return false;
+    };
+    let version = owners.as_ref().map_or(0, |it| it.version);
+    if version > service.version {
+        let written = owners.is_some_and(|it| *it.table == *pending);
+        if !written {
+            desk.services.remove(name);
+            return false;
+        }
+        service.keeper.recorded(pending, Instant::now());
+        service.version = version;
+    }
+    service.pending = None;
+    true
+}
+
+/// Returns the targets that may get keys; cold ones only where there is no other.
+fn capacity(all: &BTreeMap<Name, (u64, bool, bool)>) -> Capacity {
+    let open = |cold: bool| {
+        let chosen = all.iter().filter(move |(_, it)| it.1 && it.2 == cold);
+        chosen
+            .map(|(id, _)| (id.clone(), 1.0))
+            .collect::<Capacity>()
+    };
+    let warm = open(false);
+    if warm.is_empty() { open(true) } else { warm }
+}
+
+/// Begins transfers that make the loads more even.
+fn spread(context: &Context, service: &mut Service, name: &Name, capacity: &Capacity) {
+    let now = Instant::now();
+    service.keeper.divide(capacity.len() as u32);
+    if now - service.balanced < BALANCE || service.keeper.moving() > 0 {
+        return;
+    }
+    service.balanced = now;
+    let mut reports = context.reports.borrow_mut();
+    let loads = reports.loads.entry(name.clone()).or_default();
+    loads.fade(now);
+    let transfers = balance(&service.keeper.table(), loads, capacity, TRANSFERS);
+    for transfer in transfers {
+        let (first, last) = (transfer.first, transfer.last);
+        service.keeper.transfer(first, last, &transfer.to, now);
+    }
+}
+
+/// Records new owners and fences where keys wait for them.
+async fn record(
+    context: &Rc<Context>,
+    desk: &Rc<RefCell<Desk>>,
+    name: &Name,
+    (all, capacity): (&BTreeMap<Name, (u64, bool, bool)>, &Capacity),
+) -> bool {
+    let Some((version, table)) = proposal(context, desk, name, all, capacity) else {
+        return false;
+    };
+    match seat::record(context, name, version, &table).await {
+        Recorded::Done => {
+            let mut desk = desk.borrow_mut();
+            let Some(service) = desk.services.get_mut(name) else {
+                return false;
+            };
+            let version = context.owners.borrow().get(name).map_or(0, |it| it.version);
+            service.keeper.recorded(&table, Instant::now());
+            service.version = version;
+            let detail = format!("service {name}, version {version}");
+            context.note(events::ASSIGNMENT_RECORDED, detail);
+            context.changed.notify_waiters();
+            true
+        }
+        Recorded::Refused => false,
+        Recorded::Unknown => {
+            if let Some(service) = desk.borrow_mut().services.get_mut(name) {
+                service.pending = Some(table);
+            }
+            // A renewal first: once it is done, the lost write can't be carried out any more.
+            settle_seat(context).await;
+            false
+        }
+    }
+}
+
+/// Waits until the leader's row has a version that no lost write knows, then reads the owners.
+async fn settle_seat(context: &Context) {
+    let lost = context.lead.borrow().version();
+    while context.leads() {
+        seat::pause().await;
+        if context.lead.borrow().version() > lost && seat::refresh(context).await {
+            return;
+        }
+    }
+}
+
+fn proposal(
+    context: &Context,
+    desk: &RefCell<Desk>,
+    name: &Name,
+    all: &BTreeMap<Name, (u64, bool, bool)>,
+    capacity: &Capacity,
+) -> Option<(u64, Table)> {
+    let mut desk = desk.borrow_mut();
+    let service = desk.services.get_mut(name)?;
+    if !service.keeper.wants_record() {
+        return None;
+    }
+    let ended = service.keeper.ended().clone();
+    let life = |id: &Name| {
+        let born = all.get(id)?.0;
+        let life = Life {
+            id: id.clone(),
+            born,
+        };
+        (!ended.contains(&life)).then_some(life)
+    };
+    let mut reports = context.reports.borrow_mut();
+    let loads = reports.loads.entry(name.clone()).or_default();
+    let mut sums = sums(&service.keeper.table(), loads);
+    let table = service.keeper.proposal(|piece, wish| {
+        let wish = wish.filter(|wish| capacity.contains_key(*wish));
+        let chosen = match wish.and_then(life) {
+            Some(life) => life,
+            None => life(&least_loaded(&sums, capacity, |id| life(id).is_none())?)?,
+        };
+        let load = loads.of(piece.first, piece.last);
+        *sums.entry(chosen.id.clone()).or_default() += load;
+        Some(chosen)
+    });
+    table.map(|table| (service.version, table))
+}
+
+/// Returns the load of each target by the keys that it owns.
+fn sums(table: &Table, loads: &Loads) -> BTreeMap<Name, f64> {
+    let mut sums = BTreeMap::new();
+    for piece in &table.pieces {
+        if let Some(owner) = &piece.owner {
+            let load = loads.of(piece.first, piece.last);
+            *sums.entry(owner.id.clone()).or_default() += load;
+        }
+    }
+    sums
+}
+
+/// Sends the orders that are due.
+fn send(context: &Rc<Context>, desk: &Rc<RefCell<Desk>>, name: &Name) {
+    let strained = context.lead.borrow().strained(super::clock::moment());
+    let mut own = desk.borrow_mut();
+    let Some(service) = own.services.get_mut(name) else {
+        return;
+    };
+    let begun = service.begun;
+    for order in service.keeper.orders(strained, Instant::now()) {
+        let (context, desk, name) = (context.clone(), desk.clone(), name.clone());
+        spawn_local(async move {
+            let sent = Instant::now();
+            let done = carry(&context, &desk, &order).await;
+            note(&context, &order, &done);
+            let mut desk = desk.borrow_mut();
+            // The orders of an earlier time as leader are not this keeper's.
+            if let Some(service) = desk.services.get_mut(&name).filter(|it| it.begun == begun) {
+                service.keeper.done(&order, done, sent, Instant::now());
+            }
+            context.work.notify_one();
+        });
+    }
+}
+
+/// Sends an order to its target.
+async fn carry(context: &Context, desk: &RefCell<Desk>, order: &Order) -> Done {
+    let (Order::Grant { piece, .. } | Order::Release { piece }) = order;
+    let Some(owner) = &piece.owner else {
+        return Done::Unsent;
+    };
+    let target = context
+        .targets
+        .borrow()
+        .get(&owner.id)
+        .map(|it| it.target.clone());
+    let line = context.lines.borrow().get(&owner.id).map(|it| it.address);
+    let Some(address) = target.map(|it| it.address).or(line) else {
+        return Done::Unsent;
+    };
+    let client = desk
+        .borrow_mut()
+        .clients
+        .entry(address)
+        .or_insert_with(|| Rc::new(Client::new(address)))
+        .clone();
+    if !context.leads() {
+        return Done::Unsent;
+    }
+    let keys = (piece.first, piece.last);
+    let end = match order {
+        Order::Grant { hold, handover, .. } => {
+            let grant = Grant {
+                first: piece.first,
+                last: piece.last,
+                fence: piece.fence,
+                hold: *hold,
+                handover: handover.clone(),
+            };
+            orders::grant(&client, &grant, GRANT_LIMIT)
+                .await
+                .map(Done::from_grant)
+        }
+        Order::Release { .. } => orders::release(&client, keys, piece.fence, RELEASE_LIMIT)
+            .await
+            .map(Done::Released),
+    };
+    end.unwrap_or_else(|error| Done::from_error(&error))
+}
+
+trait FromAnswer {
+    fn from_grant(granted: Granted) -> Self;
+    fn from_error(error: &Error) -> Self;
+}
+
+impl FromAnswer for Done {
+    fn from_grant(granted: Granted) -> Self {
+        match granted {
+            Granted::Held => Self::Held,
+            Granted::Outdated => Self::Outdated,
+        }
+    }
+
+    fn from_error(error: &Error) -> Self {
+        match error {
+            Error::Refused => Self::Ended,
+            Error::NotSent(_) | Error::Rejected { .. } => Self::Unsent,
+            Error::Unknown(_) | Error::Malformed { .. } => Self::Unknown,
+        }
+    }
+}
+
+fn note(context: &Context, order: &Order, done: &Done) {
+    context.metrics.order(order, done);
+    let (Order::Grant { piece, .. } | Order::Release { piece }) = order;
+    let (code, what) = match (order, done) {
+        (Order::Grant { .. }, Done::Held) => return,
+        (Order::Grant { .. }, Done::Outdated) => (events::GRANT_REFUSED, "higher fence seen"),
+        (Order::Release { .. }, Done::Released(_)) => (events::RANGE_RELEASED, "released"),
+        (_, Done::Ended) => (events::ORDER_FAILED, "connection refused"),
+        (_, Done::Unsent) => (events::ORDER_FAILED, "not sent"),
+        _ => (events::ORDER_FAILED, "no answer"),
+    };
+    let about = About {
+        key: Some(format!("{}-{}", piece.first, piece.last).into()),
+        target: piece.owner.as_ref().map(|it| it.id.clone()),
+        detail: Some(format!("{what}, fence {}", piece.fence)),
+        ..About::default()
+    };
+    context.events.note(code, about);
+}
--- /dev/null
+++ b/crates/cowslipcross/src/direct/mod.rs
@@ -0,0 +1,124 @@
+//! An instance that sends to targets itself, on a platform whose store holds all that must last.
+//!
+//! Every instance reads the configuration and the targets from the store. One of them, the leader,
+//! records who owns which keys and grants them; the others follow the recorded owners. All duties
+//! of an instance are tasks of one thread: a fifth of a core gains nothing from more.
+
+mod answer;
+mod beat;
+mod choose;
+mod clock;
+mod context;
+mod deliver;
+mod entry;
+mod exchange;
+mod follow;
+mod keep;
+mod line;
+mod metrics;
+mod ports;
+mod request;
+mod route;
+mod seat;
+pub mod settings;
+mod stop;
+mod view;
+
+pub use settings::Settings;
+
+use {
+    crate::events::{self, About},
+    context::Context,
+    eyre::WrapErr,
+    std::{path::PathBuf, rc::Rc},
+    tokio::{
+        net::{TcpListener, TcpSocket, UdpSocket},
+        signal::unix::{Signal, SignalKind, signal},
+        task::{LocalSet, spawn_local},
+    },
+};
+
+/// Result of a run.
+pub type Result<T> = eyre::Result<T>;
+
+/// Connections that the system keeps until they are accepted.
+const BACKLOG: u32 = 1024;
+
+/// Runs an instance with the settings of a file until a signal stops it.
+///
+/// # Errors
+/// Fails if the settings are not valid or an address cannot be listened on.
+pub fn run(path: PathBuf) -> Result<()> {
+    let settings = settings::load(&path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, serve(path, settings))
+}
+
+async fn serve(path: PathBuf, settings: Settings) -> Result<()> {
+    let terminate = signal(SignalKind::terminate())?;
+    let reload = signal(SignalKind::hangup())?;
+    let listen = settings.listen.clone();
+    let callers = bind(listen.callers)?;
+    let readiness = bind(listen.readiness)?;
+    let beats = UdpSocket::bind(listen.heartbeats)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {}", listen.heartbeats))?;
+    let context = Rc::new(Context::new(settings, beats)?);
+    note_start(&context);
+    spawn_local(ports::readiness(context.clone(), readiness));
+    match bind(listen.operators) {
+        Ok(listener) => drop(spawn_local(ports::operators(context.clone(), listener))),
+        Err(error) => context.note(events::DUTY_FAILED, format!("operators' port: {error:#}")),
+    }
+    spawn_local(follow::config(context.clone()));
+    spawn_local(follow::targets(context.clone()));
+    spawn_local(beat::receive(context.clone()));
+    spawn_local(beat::report(context.clone()));
+    spawn_local(seat::hold(context.clone()));
+    spawn_local(keep::keep(context.clone()));
+    spawn_local(reloads(context.clone(), path, reload));
+    let conns = entry::Conns::default();
+    let accepting = spawn_local(entry::accept(context.clone(), callers, conns.clone()));
+    stop::after(terminate, &context, &conns, accepting).await;
+    Ok(())
+}
+
+fn note_start(context: &Context) {
+    let detail = format!(
+        "callers {}, store {}",
+        context.settings.listen.callers, context.settings.store
+    );
+    context.events.note(
+        events::START,
+        About {
+            detail: Some(detail),
+            ..About::default()
+        },
+    );
+}
+
+/// Reads the settings again at each hang-up signal; what is wrong leaves the former in force.
+async fn reloads(context: Rc<Context>, path: PathBuf, mut signal: Signal) {
+    while signal.recv().await.is_some() {
+        match settings::load(&path) {
+            Ok(settings) => {
+                *context.bounds.borrow_mut() = settings.bounds;
+                context.note(events::RELOADED, "bounds in force".into());
+            }
+            Err(error) => context.note(events::RELOAD_FAILED, format!("{error:#}")),
+        }
+    }
+}
+
+/// Listens on an address.
+fn bind(address: std::net::SocketAddr) -> Result<TcpListener> {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen().wrap_err_with(|| format!("cannot listen on {address}"))
+}
--- /dev/null
+++ b/crates/cowslipcross/src/direct/request.rs
@@ -0,0 +1,170 @@
+//! A caller's request, read whole.
+
+use {
+    super::context::Context,
+    bytes::Bytes,
+    cowslip_adapter::{config::Route, headers},
+    cowslip_decide::names::Name,
+    http::{HeaderMap, HeaderValue, Method, StatusCode, header, request::Parts},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::Incoming,
+    std::{rc::Rc, time::Duration},
+    tokio::time::{Instant, timeout_at},
+};
+
+/// A request as it is passed on.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Id that the caller gave it.
+    pub id: HeaderValue,
+    /// Route.
+    pub route: Rc<Route>,
+    /// Service that this request goes to.
+    pub service: Name,
+    /// Key, if the service is divided.
+    pub key: Option<u16>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Time of the arrival of its head.
+    pub arrived: Instant,
+    /// Time by which the caller gets an answer.
+    pub deadline: Instant,
+}
+
+/// A request that is not valid, or that cannot be routed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BadRequest {
+    /// No configuration is known yet.
+    NoConfig,
+    /// No route matches.
+    NoRoute,
+    /// The request has no id.
+    NoId,
+    /// The key is not a number from 0 to 65535, or is missing.
+    Key(String),
+    /// The deadline is not a number of milliseconds.
+    Deadline,
+    /// The body is longer than the limit.
+    Long,
+    /// The body ended early.
+    Cut,
+    /// The body was not whole by the deadline.
+    Slow,
+}
+
+impl BadRequest {
+    /// Returns the status of the answer.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::NoConfig => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoId | Self::Key(_) | Self::Deadline | Self::Cut => StatusCode::BAD_REQUEST,
+            Self::Long => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+
+    /// Returns a short text for the answer and the log.
+    pub fn text(&self) -> &'static str {
+        match self {
+            Self::NoConfig => "no configuration yet",
+            Self::NoRoute => "no route",
+            Self::NoId => "no request id",
+            Self::Key(_) => "key missing or no number from 0 to 65535",
+            Self::Deadline => "deadline is no number of milliseconds",
+            Self::Long => "body too long",
+            Self::Cut => "body ended early",
+            Self::Slow => "body not whole in time",
+        }
+    }
+}
+
+/// Reads a request whole.
+///
+/// # Errors
+/// Says what is not valid.
+pub async fn read(
+    context: &Context,
+    parts: Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Request, BadRequest> {
+    let config = context.config.borrow().clone();
+    let config = config.ok_or(BadRequest::NoConfig)?;
+    let route = find(context, &parts).ok_or(BadRequest::NoRoute)?;
+    let id = parts.headers.get(&headers::REQUEST_ID).cloned();
+    let id = id.ok_or(BadRequest::NoId)?;
+    let deadline = arrived + patience(&parts.headers, &route)?;
+    let service = service(context, &route).ok_or(BadRequest::NoRoute)?;
+    let divided = config.services.get(&service).is_some_and(|it| it.divided);
+    let key = headers::key(&parts.headers).map_err(BadRequest::Key)?;
+    if divided && key.is_none() {
+        return Err(BadRequest::Key(String::new()));
+    }
+    let body = whole(body, config.limits.body_bytes, deadline).await?;
+    let path = parts.uri.path_and_query();
+    Ok(Request {
+        id,
+        service,
+        key: key.filter(|_| divided),
+        method: parts.method,
+        path: path.map_or_else(|| "/".to_owned(), ToString::to_string),
+        headers: passed_on(&parts.headers),
+        body,
+        arrived,
+        deadline,
+        route,
+    })
+}
+
+fn find(context: &Context, parts: &Parts) -> Option<Rc<Route>> {
+    let named = headers::text(&parts.headers, &header::HOST);
+    let host = named.or_else(|| parts.uri.host())?;
+    context.routes.borrow().find(host, parts.uri.path())
+}
+
+/// Returns the time that the caller waits, at most that of the route.
+fn patience(all: &HeaderMap, route: &Route) -> Result<Duration, BadRequest> {
+    let Some(text) = headers::text(all, &headers::DEADLINE) else {
+        return Ok(route.timeout);
+    };
+    let millis: u64 = text.trim().parse().map_err(|_| BadRequest::Deadline)?;
+    Ok(Duration::from_millis(millis).min(route.timeout))
+}
+
+/// Chooses the service of the next request on a route, by weight.
+fn service(context: &Context, route: &Route) -> Option<Name> {
+    if let [(only, _)] = route.split.as_slice() {
+        return Some(only.clone());
+    }
+    let mut dealers = context.dealers.borrow_mut();
+    let dealer = dealers
+        .entry(route.name.clone())
+        .or_insert_with(|| cowslip_decide::split::Dealer::new(rand::random()));
+    let at = dealer.deal(route.split.iter().map(|(_, weight)| *weight))?;
+    Some(route.split[at].0.clone())
+}
+
+async fn whole(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, BadRequest> {
+    match timeout_at(deadline, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BadRequest::Long),
+        Ok(Err(_)) => Err(BadRequest::Cut),
+        Err(_) => Err(BadRequest::Slow),
+    }
+}
+
+/// Returns the headers that go on to the target; the length is set anew with the whole body.
+fn passed_on(all: &HeaderMap) -> HeaderMap {
+    let mut passed = headers::end_to_end(all);
+    passed.remove(header::CONTENT_LENGTH);
+    passed.remove(header::EXPECT);
+    passed.remove(&headers::ONLY_TARGET);
+    passed
+}
--- /dev/null
+++ b/crates/cowslipcross/src/direct/seat.rs
@@ -0,0 +1,280 @@
+//! The leader's row in the store: read, taken, renewed and given up.
+
+use {
+    super::{
+        clock,
+        context::{Context, Owners},
+    },
+    crate::events,
+    cowslip_adapter::store::{Check, Commit, OWN_TABLE, Put, Row},
+    cowslip_decide::{
+        lead::{Moment, Seat, Step},
+        names::Name,
+        owners::Table,
+    },
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::{Instant, sleep, timeout},
+};
+
+/// Key of the leader's row.
+const SEAT_KEY: &str = "leader";
+/// Prefix of the keys of the rows with the owners of a service's keys.
+const OWNERS_PREFIX: &str = "owners/";
+/// Longest time for an answer of the store.
+const LIMIT: Duration = Duration::from_millis(450);
+/// Period in which the row is looked after.
+const TICK: Duration = Duration::from_millis(100);
+/// Time without a heartbeat of the leader after which the store is read.
+const SILENCE: Duration = Duration::from_millis(1100);
+/// Period of the reads while no leader is heard.
+const SEARCH: Duration = Duration::from_millis(600);
+
+/// The leader's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct WireSeat {
+    /// Name of the leader.
+    name: Name,
+    /// Run of the leader; empty after it gave the row up.
+    run: String,
+    /// Address for datagrams.
+    heartbeats: SocketAddr,
+}
+
+/// How a record of owners ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recorded {
+    /// It is in the store.
+    Done,
+    /// It is not, and will not be.
+    Refused,
+    /// It may be there, or come there as long as the leader's row keeps its version.
+    Unknown,
+}
+
+/// Looks after the leader's row for ever.
+pub async fn hold(context: Rc<Context>) {
+    let mut read = Instant::now();
+    let mut known = false;
+    loop {
+        let led = context.leads();
+        let step = context.lead.borrow_mut().step(clock::moment());
+        let search = !led && quiet(&context) && read.elapsed() >= SEARCH;
+        match step {
+            Step::Write { version } if context.stopping.get().is_none() => {
+                claim(&context, version).await;
+            }
+            Step::Read if !known || read.elapsed() >= SEARCH / 4 => {
+                read = Instant::now();
+                known |= refresh(&context).await;
+            }
+            _ if search => {
+                read = Instant::now();
+                refresh(&context).await;
+            }
+            _ => {}
+        }
+        if led && !context.leads() {
+            context.note(events::LEADER_LOST, "lease not renewed".into());
+        }
+        // Either the tick is over or the owners have to be read at once.
+        if timeout(TICK, context.refresh.notified()).await.is_ok() && !context.leads() {
+            read = Instant::now();
+            refresh(&context).await;
+        }
+    }
+}
+
+/// Returns whether no leader was heard of late.
+fn quiet(context: &Context) -> bool {
+    let heard = context.heard.get();
+    heard.is_none_or(|heard| heard.elapsed() > SILENCE)
+}
+
+/// Reads the project's own rows; returns whether the store answered.
+pub async fn refresh(context: &Context) -> bool {
+    let _one = context.writing.lock().await;
+    let read = context.rows.rows(OWN_TABLE, LIMIT).await;
+    context.metrics.store_call("owners", read.is_ok());
+    let Ok(rows) = read else {
+        return false;
+    };
+    let now = clock::moment();
+    let seat = rows.rows.iter().find(|row| row.key == SEAT_KEY);
+    see(context, seat, now);
+    for row in &rows.rows {
+        if let Some(service) = row.key.strip_prefix(OWNERS_PREFIX) {
+            adopt(context, service, row);
+        }
+    }
+    true
+}
+
+/// Takes the leader's row as the store has it.
+fn see(context: &Context, row: Option<&Row>, now: Moment) {
+    let value = row.and_then(|row| row.value.as_deref());
+    let wire: Option<WireSeat> = value.and_then(|value| serde_json::from_slice(value).ok());
+    let own = wire.as_ref().is_some_and(|it| it.run == context.run);
+    let seat = Seat {
+        version: row.map_or(0, |row| row.version),
+        own,
+        vacant: wire.as_ref().is_none_or(|it| it.run.is_empty()),
+    };
+    context.lead.borrow_mut().read(seat, now);
+    if let Some(wire) = wire.filter(|_| !own) {
+        context.leader.set(Some(wire.heartbeats));
+    }
+}
+
+/// Takes over owners that are newer than those at hand.
+fn adopt(context: &Context, service: &str, row: &Row) {
+    let mut owners = context.owners.borrow_mut();
+    let known = owners.get(service).map_or(0, |it| it.version);
+    if row.version <= known {
+        return;
+    }
+    let value = row.value.as_deref().unwrap_or_default();
+    let table = match serde_json::from_slice::<Table>(value) {
+        Ok(table) if table.is_whole() => table,
+        _ => {
+            let detail = format!("owners of {service}, version {}", row.version);
+            return context.note(events::ROW_REFUSED, detail);
+        }
+    };
+    let detail = format!(
+        "service {service}, version {}, {} pieces",
+        row.version,
+        table.pieces.len()
+    );
+    owners.insert(
+        service.into(),
+        Owners {
+            version: row.version,
+            table: Rc::new(table),
+        },
+    );
+    drop(owners);
+    context.note(events::VERSION_ADOPTED, detail);
+    context.changed.notify_waiters();
+}
+
+/// Takes or renews the leader's row.
+async fn claim(context: &Context, version: u64) {
+    let one = context.writing.lock().await;
+    let (led, sent) = (context.leads(), clock::moment());
+    let checks = [check(SEAT_KEY, version)];
+    let puts = [seat(context, true)];
+    let end = context.rows.commit(&checks, &puts, LIMIT).await;
+    drop(one);
+    context.metrics.store_call("lease", end.is_ok());
+    settle(context, sent, &end);
+    if !led && context.leads() {
+        context.leader.set(Some(context.settings.listen.heartbeats));
+        context.leading.set(Some(Instant::now()));
+        let version = context.lead.borrow().version();
+        context.note(events::LEADER_GAINED, format!("version {version}"));
+        context.work.notify_one();
+    }
+}
+
+/// Takes the end of a write of the leader's row.
+fn settle(context: &Context, sent: Moment, end: &cowslip_adapter::Result<Commit>) {
+    match end {
+        Ok(Commit::Done(version)) => context.lead.borrow_mut().written(sent, *version),
+        Ok(Commit::Conflict(rows)) => {
+            let row = rows.iter().find(|row| row.key == SEAT_KEY);
+            match row {
+                Some(_) => see(context, row, clock::moment()),
+                None => context.lead.borrow_mut().unanswered(),
+            }
+        }
+        Err(error) if error.may_have_happened() => {
+            context.note(events::WRITE_UNKNOWN, error.to_string());
+            context.lead.borrow_mut().unanswered();
+        }
+        // Nothing was written: the next step tries again.
+        Err(error) => context.note(events::WRITE_REFUSED, error.to_string()),
+    }
+}
+
+/// Records owners under the condition that this instance still is the leader.
+pub async fn record(context: &Context, service: &Name, version: u64, table: &Table) -> Recorded {
+    let one = context.writing.lock().await;
+    if !context.leads() {
+        return Recorded::Refused;
+    }
+    let key = format!("{OWNERS_PREFIX}{service}");
+    let held = context.lead.borrow().version();
+    let Ok(value) = serde_json::to_vec(table) else {
+        return Recorded::Refused;
+    };
+    let sent = clock::moment();
+    let checks = [check(SEAT_KEY, held), check(&key, version)];
+    let puts = [seat(context, true), Put { key, value }];
+    let end = context.rows.commit(&checks, &puts, LIMIT).await;
+    drop(one);
+    context.metrics.store_call("record", end.is_ok());
+    settle(context, sent, &end);
+    match end {
+        Ok(Commit::Done(version)) => {
+            let owners = Owners {
+                version,
+                table: Rc::new(table.clone()),
+            };
+            context.owners.borrow_mut().insert(service.clone(), owners);
+            Recorded::Done
+        }
+        Ok(Commit::Conflict(_)) => Recorded::Unknown,
+        Err(error) if error.may_have_happened() => Recorded::Unknown,
+        Err(_) => Recorded::Refused,
+    }
+}
+
+/// Gives the leader's row up, if this instance has it.
+pub async fn resign(context: &Context) {
+    if !context.leads() {
+        return;
+    }
+    let _one = context.writing.lock().await;
+    let version = context.lead.borrow().version();
+    context.lead.borrow_mut().lose();
+    let checks = [check(SEAT_KEY, version)];
+    let end = context
+        .rows
+        .commit(&checks, &[seat(context, false)], LIMIT)
+        .await;
+    let detail = match end {
+        Ok(_) => "given up for a stop".to_owned(),
+        Err(error) => format!("stop, row not given up: {error}"),
+    };
+    context.note(events::LEADER_LOST, detail);
+}
+
+fn check(key: &str, version: u64) -> Check {
+    Check {
+        key: key.into(),
+        version,
+    }
+}
+
+fn seat(context: &Context, held: bool) -> Put {
+    let wire = WireSeat {
+        name: context.settings.name.clone(),
+        run: if held {
+            context.run.clone()
+        } else {
+            String::new()
+        },
+        heartbeats: context.settings.listen.heartbeats,
+    };
+    Put {
+        key: SEAT_KEY.into(),
+        // A struct of texts always has a JSON form.
+        value: serde_json::to_vec(&wire).unwrap_or_default(),
+    }
+}
+
+/// Pause for callers that look for the leader's state.
+pub async fn pause() {
+    sleep(TICK).await;
+}
--- a/crates/cowslipcross/src/events.rs
+++ b/crates/cowslipcross/src/events.rs
@@ -64,6 +64,7 @@
 struct Shared {
     origin: Origin,
     logger: Option<Arc<Logger>>,
+    layout: fn(&Event) -> String,
     state: Mutex<State>,
 }
 
@@ -75,6 +76,20 @@
 impl Events {
     /// Returns a handle to an empty ring of `capacity` events; without a logger nothing is logged.
     pub fn new(origin: Origin, capacity: usize, logger: Option<Arc<Logger>>) -> Self {
+        Self::with_layout(origin, capacity, logger, |event| event.to_string())
+    }
+
+    /// Returns a handle to an empty ring whose events are logged as JSON.
+    pub fn json(origin: Origin, capacity: usize, logger: Arc<Logger>) -> Self {
+        Self::with_layout(origin, capacity, Some(logger), Event::json)
+    }
+
+    fn with_layout(
+        origin: Origin,
+        capacity: usize,
+        logger: Option<Arc<Logger>>,
+        layout: fn(&Event) -> String,
+    ) -> Self {
         let state = State {
             clock: Clock::default(),
             ring: Ring::new(capacity),
@@ -82,6 +97,7 @@
         let shared = Shared {
             origin,
             logger,
+            layout,
             state: Mutex::new(state),
         };
         Self {
@@ -96,7 +112,8 @@
             return;
         };
         if let Some(logger) = &self.shared.logger {
-            spdlog::log!(logger: logger, kind.level.into(), "{event}");
+            let line = (self.shared.layout)(&event);
+            spdlog::log!(logger: logger, kind.level.into(), "{line}");
         }
     }
 
--- a/crates/cowslipcross/src/events/logger.rs
+++ b/crates/cowslipcross/src/events/logger.rs
@@ -1,4 +1,4 @@
-//! The log of a process: one line an event on standard error.
+//! The log of a process: one line an event.
 
 use {
     spdlog::{
@@ -28,3 +28,19 @@
         .flush_level_filter(LevelFilter::All)
         .build_arc()
 }
+
+/// Returns a logger that writes events of `least` and above to standard output, each as it is given.
+///
+/// # Errors
+/// Passes on what the logging library refuses.
+pub fn stdout(least: Level) -> Result<Arc<Logger>> {
+    let sink = StdStreamSink::builder()
+        .stdout()
+        .formatter(PatternFormatter::new(pattern!("{payload}{eol}")))
+        .build_arc()?;
+    Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(least))
+        .flush_level_filter(LevelFilter::All)
+        .build_arc()
+}
--- a/crates/cowslipcross/src/events/ring.rs
+++ b/crates/cowslipcross/src/events/ring.rs
@@ -95,6 +95,14 @@
     }
 }
 
+impl Event {
+    /// Returns the event as one line of JSON.
+    pub(super) fn json(&self) -> String {
+        // Its fields are texts and numbers, which always have a JSON form.
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Stamp { wall, count } = self.stamp;
--- a/crates/cowslipcross/src/lib.rs
+++ b/crates/cowslipcross/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod config;
 pub mod context;
+pub mod direct;
 mod duty;
 pub mod entry;
 pub mod events;
--- /dev/null
+++ b/crates/decide/src/owners/mod.rs
@@ -0,0 +1,11 @@
+//! Ownership of the keys of one divided service: who owns which, and in what order it changes.
+
+mod keeper;
+mod spread;
+mod table;
+
+pub use {
+    keeper::{Candidate, Done, Keeper, Order, Timing},
+    spread::{Capacity, Loads, Transfer, balance, least_loaded},
+    table::{Life, Piece, Table},
+};
