--- a/crates/cowslipcross/src/direct/beat.rs
+++ b/crates/cowslipcross/src/direct/beat.rs
@@ -4,8 +4,16 @@
 //! of unknown load are spread evenly.
 
 use {
-    super::{clock, context::Context, keep},
-    cowslip_decide::names::Name,
+    super::{
+        clock,
+        context::{Context, Owners},
+        keep,
+    },
+    crate::events,
+    cowslip_decide::{
+        names::{Fence, Name},
+        owners::{Life, Piece},
+    },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
@@ -17,6 +25,8 @@
 const LONGEST: usize = 1400;
 /// Most keys of one report; further ones go with the next.
 const MOST_KEYS: usize = 100;
+/// Time for which heartbeats tell what a record changed.
+const FRESH: Duration = Duration::from_millis(700);
 /// Time after which an instance that sends no report is not counted.
 const FORGOTTEN: Duration = Duration::from_secs(4);
 
@@ -28,8 +38,8 @@
     Beat {
         /// Version of the leader's row.
         seat: u64,
-        /// Versions of the owners by service.
-        owners: BTreeMap<Name, u64>,
+        /// Versions of the owners by service, with what changed last.
+        owners: BTreeMap<Name, Recorded>,
         /// Instances that the leader hears of.
         instances: u32,
     },
@@ -38,6 +48,20 @@
     Report(BTreeMap<Name, Vec<(u16, u32)>>),
 }
 
+/// Version of the recorded owners of a service, and what a fresh record changed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Recorded {
+    /// Version.
+    #[serde(rename = "v")]
+    version: u64,
+    /// Version before the change.
+    #[serde(rename = "b", default, skip_serializing_if = "is_zero")]
+    base: u64,
+    /// Pieces that are new: first key, last key, owner, its start, fence.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pieces: Vec<(u16, u16, Option<(Name, u64)>, u64)>,
+}
+
 /// Instances that sent a report, with the time of the last one.
 pub type Members = BTreeMap<SocketAddr, Instant>;
 
@@ -72,18 +96,56 @@
             context.leader.set(Some(from));
             context.heard.set(Some(Instant::now()));
             context.instances.set(instances.max(1));
-            let known = context.owners.borrow();
-            let newer = |(service, version): (&Name, &u64)| {
-                known.get(service).is_none_or(|it| it.version < *version)
-            };
-            if owners.iter().any(newer) {
-                context.refresh.notify_one();
+            for (service, recorded) in &owners {
+                follow(context, service, recorded);
             }
         }
         Message::Report(keys) => keep::report(context, from, &keys),
     }
 }
 
+/// Takes over newer owners: from the change that came along, or else from the store.
+fn follow(context: &Context, service: &Name, recorded: &Recorded) {
+    let mut owners = context.owners.borrow_mut();
+    let known = owners.get_mut(service);
+    if known
+        .as_ref()
+        .is_some_and(|it| it.version >= recorded.version)
+    {
+        return;
+    }
+    let fits = known.filter(|it| it.version == recorded.base && !recorded.pieces.is_empty());
+    let Some(known) = fits else {
+        return context.refresh.notify_one();
+    };
+    let pieces: Vec<Piece> = recorded.pieces.iter().map(piece).collect();
+    let mut table = (*known.table).clone();
+    table.apply(&pieces);
+    *known = Owners {
+        version: recorded.version,
+        table: Rc::new(table),
+        change: None,
+    };
+    drop(owners);
+    let detail = format!(
+        "service {service}, version {}, {} pieces by heartbeat",
+        recorded.version,
+        pieces.len()
+    );
+    context.note(events::VERSION_ADOPTED, detail);
+    context.changed.notify_waiters();
+}
+
+fn piece(wire: &(u16, u16, Option<(Name, u64)>, u64)) -> Piece {
+    let (first, last, owner, fence) = wire.clone();
+    Piece {
+        first,
+        last,
+        owner: owner.map(|(id, born)| Life { id, born }),
+        fence: Fence(fence),
+    }
+}
+
 /// Tells the leader the load of keys.
 pub async fn report(context: Rc<Context>) {
     loop {
@@ -112,12 +174,24 @@
         owners: versions(context),
         instances: count,
     };
+    let message = fitting(message);
     let own = context.settings.listen.heartbeats;
     for address in members.into_iter().filter(|it| *it != own) {
         send(context, &message, address).await;
     }
 }
 
+/// Leaves changes out that are too long for a datagram; the others read them from the store.
+fn fitting(mut message: Message) -> Message {
+    let length = serde_json::to_vec(&message).map_or(0, |it| it.len());
+    if let Message::Beat { owners, .. } = &mut message
+        && length > LONGEST
+    {
+        owners.values_mut().for_each(|it| it.pieces.clear());
+    }
+    message
+}
+
 /// Returns the instances that reported of late.
 fn members(context: &Context) -> Vec<SocketAddr> {
     let now = Instant::now();
@@ -126,11 +200,31 @@
     reports.members.keys().copied().collect()
 }
 
-/// Returns the versions of the owners at hand by service.
-fn versions(context: &Context) -> BTreeMap<Name, u64> {
+/// Returns the owners at hand by service, with what a fresh record changed.
+fn versions(context: &Context) -> BTreeMap<Name, Recorded> {
     let owners = context.owners.borrow();
-    let versions = owners.iter().map(|(name, it)| (name.clone(), it.version));
-    versions.collect()
+    let recorded = owners.iter().map(|(name, it)| {
+        let fresh = it
+            .change
+            .as_ref()
+            .filter(|change| change.at.elapsed() < FRESH);
+        let recorded = Recorded {
+            version: it.version,
+            base: fresh.map_or(0, |change| change.base),
+            pieces: fresh.map_or_else(Vec::new, |change| change.pieces.iter().map(wire).collect()),
+        };
+        (name.clone(), recorded)
+    });
+    recorded.collect()
+}
+
+fn wire(piece: &Piece) -> (u16, u16, Option<(Name, u64)>, u64) {
+    let owner = piece.owner.as_ref().map(|it| (it.id.clone(), it.born));
+    (piece.first, piece.last, owner, piece.fence.0)
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// Takes the keys of requests since the last report, at most as many as a datagram holds.
--- a/crates/cowslipcross/src/direct/choose.rs
+++ b/crates/cowslipcross/src/direct/choose.rs
@@ -21,6 +21,8 @@
 const LOAD_AGE: Duration = Duration::from_millis(400);
 /// Time of an answer where none was seen, in seconds.
 const UNKNOWN_PACE: f64 = 0.1;
+/// Cost of a target in another data centre in relation to one nearby.
+const FAR: f64 = 1.25;
 /// Time between two looks at something that should change soon.
 const LOOK: Duration = Duration::from_millis(150);
 /// Part of a cold target's rate that all instances use together.
@@ -65,7 +67,11 @@
     let Some(owners) = owners.get(&request.service) else {
         return Choice::Wait(LOOK);
     };
-    let Some(life) = owners.table.piece(key).owner.as_ref() else {
+    let piece = owners.table.piece(key);
+    if let Some(wait) = context.blocks.borrow().wait(&request.service, piece, now) {
+        return Choice::Wait(wait);
+    }
+    let Some(life) = piece.owner.as_ref() else {
         return Choice::Wait(LOOK);
     };
     let Some(seen) = targets
@@ -102,9 +108,14 @@
         .collect();
     let warm = open.iter().filter(|seen| !seen.is_cold(now));
     let best = warm
-        .map(|seen| (line(context, seen, now), seen))
-        .min_by(|(a, _), (b, _)| cost(a, now).total_cmp(&cost(b, now)));
-    if let Some((line, seen)) = best {
+        .map(|seen| {
+            let line = line(context, seen, now);
+            let near = seen.target.data_centre == context.settings.data_centre;
+            let cost = cost(&line, now) * if near { 1.0 } else { FAR };
+            (line, seen, cost)
+        })
+        .min_by(|(_, _, a), (_, _, b)| a.total_cmp(b));
+    if let Some((line, seen, _)) = best {
         return Choice::Send(line, seen.target.id.clone());
     }
     let mut wait = None;
--- a/crates/cowslipcross/src/direct/context.rs
+++ b/crates/cowslipcross/src/direct/context.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        block::Blocks,
         clock,
         keep::Reports,
         line::Line,
@@ -15,7 +16,7 @@
     cowslip_decide::{
         lead::Lead,
         names::{Incarnation, Name},
-        owners::Table,
+        owners::{Piece, Table},
         share::{Bound, Share},
         split::Dealer,
     },
@@ -47,6 +48,19 @@
     pub version: u64,
     /// Owners.
     pub table: Rc<Table>,
+    /// What the leader changed last, if this instance is the leader.
+    pub change: Option<Change>,
+}
+
+/// Difference between two versions of the recorded owners.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Version before it.
+    pub base: u64,
+    /// Pieces that are new.
+    pub pieces: Vec<Piece>,
+    /// Time of the record.
+    pub at: Instant,
 }
 
 /// Keys of requests since the last report, by service.
@@ -82,6 +96,8 @@
     pub withdrawn: RefCell<BTreeMap<Name, Instant>>,
     /// Owners of keys by service.
     pub owners: RefCell<BTreeMap<Name, Owners>>,
+    /// Keys whose owner refused a request of late.
+    pub blocks: RefCell<Blocks>,
     /// Connections and load by target.
     pub lines: RefCell<BTreeMap<Name, Rc<Line>>>,
     /// Retries by service.
@@ -144,6 +160,7 @@
             targets: RefCell::new(Rc::new(Targets::empty(now))),
             withdrawn: RefCell::default(),
             owners: RefCell::default(),
+            blocks: RefCell::default(),
             lines: RefCell::default(),
             shares: RefCell::default(),
             dealers: RefCell::default(),
--- a/crates/cowslipcross/src/direct/deliver.rs
+++ b/crates/cowslipcross/src/direct/deliver.rs
@@ -152,6 +152,7 @@
     context.metrics.ended(&request.service, &end);
     match end {
         End::Whole(whole) => {
+            unblock(context, request);
             let failed = whole.status.is_server_error() && request.route.repeatable;
             course.run += 1;
             if failed && again(context, request, course, target) {
@@ -161,7 +162,7 @@
         }
         End::Unrun(signs) if signs.misdirected && request.key.is_some() => {
             note(context, events::WRONG_OWNER, request, target, "owner moved");
-            context.refresh.notify_one();
+            block(context, request);
             course.refused += 1;
             if course.refused > 2 * MOST_REFUSED || !context.may_repeat(&request.service) {
                 return Next::Answer(refuse(Reason::NoOwner, COME_BACK));
@@ -223,6 +224,23 @@
     }
 }
 
+/// Lets requests for the same keys wait for another owner.
+fn block(context: &Context, request: &Request) {
+    let owners = context.owners.borrow();
+    if let (Some(owners), Some(key)) = (owners.get(&request.service), request.key) {
+        let mut blocks = context.blocks.borrow_mut();
+        blocks.refused(&request.service, owners.table.piece(key), Instant::now());
+    }
+}
+
+fn unblock(context: &Context, request: &Request) {
+    let owners = context.owners.borrow();
+    if let (Some(owners), Some(key)) = (owners.get(&request.service), request.key) {
+        let mut blocks = context.blocks.borrow_mut();
+        blocks.served(&request.service, owners.table.piece(key));
+    }
+}
+
 /// Returns whether a repeatable request goes out once more, and notes where it was.
 fn again(context: &Context, request: &Request, course: &mut Course, target: &Name) -> bool {
     if course.run >= request.route.attempts || !context.may_repeat(&request.service) {
--- a/crates/cowslipcross/src/direct/follow.rs
+++ b/crates/cowslipcross/src/direct/follow.rs
@@ -28,7 +28,7 @@
 /// Longest time for an answer of the store.
 const LIMIT: Duration = Duration::from_millis(500);
 /// Period in which the targets are read.
-const PERIOD: Duration = Duration::from_millis(950);
+const PERIOD: Duration = Duration::from_millis(1300);
 /// Pause after a call failed.
 const PAUSE: Duration = Duration::from_millis(250);
 
--- a/crates/cowslipcross/src/direct/keep.rs
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -23,7 +23,7 @@
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         task::spawn_local,
-        time::{Instant, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -41,6 +41,8 @@
 const RELEASE_LIMIT: Duration = Duration::from_millis(2500);
 /// Period of heartbeats.
 const BEAT: Duration = Duration::from_millis(500);
+/// Time by which heartbeats with new owners follow their grants.
+const GRANTS_FIRST: Duration = Duration::from_millis(3);
 /// Time for which the first targets are awaited before keys are given out.
 const GATHER: Duration = Duration::from_millis(1200);
 /// Period in which keys are spread anew.
@@ -60,8 +62,8 @@
     keeper: Keeper,
     /// Version of the recorded owners; 0 if there is no row.
     version: u64,
-    /// Table whose record got no answer.
-    pending: Option<Table>,
+    /// Table whose record got no answer, and the version of the leader's row then.
+    pending: Option<(Table, u64)>,
     begun: Instant,
     balanced: Instant,
 }
@@ -104,6 +106,10 @@
         for service in divided(&context) {
             changed |= turn(&context, &desk, &service).await;
         }
+        if changed {
+            // Grants go first, so that the new owners have their keys when requests come.
+            sleep(GRANTS_FIRST).await;
+        }
         if changed || beaten.elapsed() >= BEAT {
             beaten = Instant::now();
             beat::beat(&context).await;
@@ -145,7 +151,8 @@
         service.keeper.review(&candidates.collect(), now);
         spread(context, service, name, &capacity);
     }
-    let changed = record(context, desk, name, (&all, &capacity)).await;
+    let known = settled(context, desk, name).await;
+    let changed = known && record(context, desk, name, (&all, &capacity)).await;
     send(context, desk, name);
     changed
 }
@@ -154,12 +161,8 @@
 fn adopted(context: &Context, desk: &RefCell<Desk>, name: &Name) -> bool {
     let now = Instant::now();
     let mut desk = desk.borrow_mut();
-    if let Some(service) = desk.services.get(name) {
-        // What was recorded without an answer shows in the next read.
-        let Some(pending) = service.pending.clone() else {
-            return true;
-        };
-        return settle(context, &mut desk, name, &pending);
+    if desk.services.contains_key(name) {
+        return true;
     }
     let owners = context.owners.borrow().get(name).cloned();
     let table = owners
@@ -185,7 +188,26 @@
     true
 }
 
-/// Finds out whether a record without an answer is in the store.
+/// Finds out whether a record without an answer is in the store; returns whether that is known.
+///
+/// A renewal of the leader's row comes first: after it the lost write cannot be carried out.
+async fn settled(context: &Context, desk: &RefCell<Desk>, name: &Name) -> bool {
+    let pending = desk
+        .borrow()
+        .services
+        .get(name)
+        .and_then(|it| it.pending.clone());
+    let Some((table, lost)) = pending else {
+        return true;
+    };
+    let renewed = context.lead.borrow().version() > lost && context.leads();
+    if !renewed || !seat::refresh(context).await {
+        return false;
+    }
+    settle(context, &mut desk.borrow_mut(), name, &table)
+}
+
+/// Compares the record without an answer with what the store has.
 fn settle(context: &Context, desk: &mut Desk, name: &Name, pending: &Table) -> bool {
     let owners = context.owners.borrow().get(name).cloned();
     let Some(service) = desk.services.get_mut(name) else {
@@ -261,27 +283,15 @@
         }
         Recorded::Refused => false,
         Recorded::Unknown => {
+            let lost = context.lead.borrow().version();
             if let Some(service) = desk.borrow_mut().services.get_mut(name) {
-                service.pending = Some(table);
+                service.pending = Some((table, lost));
             }
-            // A renewal first: once it is done, the lost write can't be carried out any more.
-            settle_seat(context).await;
             false
         }
     }
 }
 
-/// Waits until the leader's row has a version that no lost write knows, then reads the owners.
-async fn settle_seat(context: &Context) {
-    let lost = context.lead.borrow().version();
-    while context.leads() {
-        seat::pause().await;
-        if context.lead.borrow().version() > lost && seat::refresh(context).await {
-            return;
-        }
-    }
-}
-
 fn proposal(
     context: &Context,
     desk: &RefCell<Desk>,
@@ -389,13 +399,15 @@
                 hold: *hold,
                 handover: handover.clone(),
             };
-            orders::grant(&client, &grant, GRANT_LIMIT)
+            orders::grant(&client, &owner.id, &grant, GRANT_LIMIT)
                 .await
                 .map(Done::from_grant)
         }
-        Order::Release { .. } => orders::release(&client, keys, piece.fence, RELEASE_LIMIT)
-            .await
-            .map(Done::Released),
+        Order::Release { .. } => {
+            orders::release(&client, &owner.id, keys, piece.fence, RELEASE_LIMIT)
+                .await
+                .map(Done::Released)
+        }
     };
     end.unwrap_or_else(|error| Done::from_error(&error))
 }
@@ -416,6 +428,8 @@
     fn from_error(error: &Error) -> Self {
         match error {
             Error::Refused => Self::Ended,
+            // Another target has the address: the owner's process has ended.
+            Error::Misdirected => Self::Ended,
             Error::NotSent(_) | Error::Rejected { .. } => Self::Unsent,
             Error::Unknown(_) | Error::Malformed { .. } => Self::Unknown,
         }
@@ -429,7 +443,7 @@
         (Order::Grant { .. }, Done::Held) => return,
         (Order::Grant { .. }, Done::Outdated) => (events::GRANT_REFUSED, "higher fence seen"),
         (Order::Release { .. }, Done::Released(_)) => (events::RANGE_RELEASED, "released"),
-        (_, Done::Ended) => (events::ORDER_FAILED, "connection refused"),
+        (_, Done::Ended) => (events::ORDER_FAILED, "process has ended"),
         (_, Done::Unsent) => (events::ORDER_FAILED, "not sent"),
         _ => (events::ORDER_FAILED, "no answer"),
     };
--- a/crates/cowslipcross/src/direct/mod.rs
+++ b/crates/cowslipcross/src/direct/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod beat;
+mod block;
 mod choose;
 mod clock;
 mod context;
--- a/crates/cowslipcross/src/direct/seat.rs
+++ b/crates/cowslipcross/src/direct/seat.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         clock,
-        context::{Context, Owners},
+        context::{Change, Context, Owners},
     },
     crate::events,
     cowslip_adapter::store::{Check, Commit, OWN_TABLE, Put, Row},
@@ -14,7 +14,7 @@
     },
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep, timeout},
+    tokio::time::{Instant, timeout},
 };
 
 /// Key of the leader's row.
@@ -151,6 +151,7 @@
         Owners {
             version: row.version,
             table: Rc::new(table),
+            change: None,
         },
     );
     drop(owners);
@@ -198,7 +199,7 @@
 }
 
 /// Records owners under the condition that this instance still is the leader.
-pub async fn record(context: &Context, service: &Name, version: u64, table: &Table) -> Recorded {
+pub async fn record(context: &Context, service: &Name, before: u64, table: &Table) -> Recorded {
     let one = context.writing.lock().await;
     if !context.leads() {
         return Recorded::Refused;
@@ -209,7 +210,7 @@
         return Recorded::Refused;
     };
     let sent = clock::moment();
-    let checks = [check(SEAT_KEY, held), check(&key, version)];
+    let checks = [check(SEAT_KEY, held), check(&key, before)];
     let puts = [seat(context, true), Put { key, value }];
     let end = context.rows.commit(&checks, &puts, LIMIT).await;
     drop(one);
@@ -217,11 +218,7 @@
     settle(context, sent, &end);
     match end {
         Ok(Commit::Done(version)) => {
-            let owners = Owners {
-                version,
-                table: Rc::new(table.clone()),
-            };
-            context.owners.borrow_mut().insert(service.clone(), owners);
+            took_effect(context, service, (before, version), table);
             Recorded::Done
         }
         Ok(Commit::Conflict(_)) => Recorded::Unknown,
@@ -230,6 +227,23 @@
     }
 }
 
+/// Puts recorded owners in force on this instance, and keeps the difference for the others.
+fn took_effect(context: &Context, service: &Name, (before, version): (u64, u64), table: &Table) {
+    let mut owners = context.owners.borrow_mut();
+    let former = owners.get(service).filter(|it| it.version == before);
+    let change = former.map(|former| Change {
+        base: before,
+        pieces: table.changes(&former.table),
+        at: Instant::now(),
+    });
+    let next = Owners {
+        version,
+        table: Rc::new(table.clone()),
+        change,
+    };
+    owners.insert(service.clone(), next);
+}
+
 /// Gives the leader's row up, if this instance has it.
 pub async fn resign(context: &Context) {
     if !context.leads() {
@@ -273,8 +287,3 @@
         value: serde_json::to_vec(&wire).unwrap_or_default(),
     }
 }
-
-/// Pause for callers that look for the leader's state.
-pub async fn pause() {
-    sleep(TICK).await;
-}
--- a/crates/decide/src/owners/table.rs
+++ b/crates/decide/src/owners/table.rs
@@ -88,6 +88,28 @@
         }
     }
 
+    /// Returns the pieces that are not in an earlier table.
+    pub fn changes(&self, earlier: &Self) -> Vec<Piece> {
+        let changed = |piece: &&Piece| {
+            let before = earlier.piece(piece.first);
+            before.fence != piece.fence || before.owner != piece.owner
+        };
+        self.pieces.iter().filter(changed).cloned().collect()
+    }
+
+    /// Puts pieces of a later table in the place of its own.
+    pub fn apply(&mut self, changes: &[Piece]) {
+        for change in changes {
+            self.cut(change.first, change.last);
+            let inside = |piece: &&mut Piece| change.has(piece.first);
+            for piece in self.pieces.iter_mut().filter(inside) {
+                piece.owner.clone_from(&change.owner);
+                piece.fence = change.fence;
+            }
+            self.fence = self.fence.max(change.fence);
+        }
+    }
+
     /// Checks that the pieces are in order and without gaps.
     pub fn is_whole(&self) -> bool {
         let mut next = Some(0u16);
