--- a/crates/cowslipcross/src/direct/keep.rs
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -22,6 +22,7 @@
     },
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
+        sync::Mutex,
         task::spawn_local,
         time::{Instant, sleep, timeout},
     },
@@ -30,9 +31,9 @@
 /// Period in which the leader looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// Hold of a grant.
-const HOLD: Duration = Duration::from_millis(4000);
+const HOLD: Duration = Duration::from_millis(3200);
 /// Time after which a grant is renewed.
-const RENEWAL: Duration = Duration::from_millis(900);
+const RENEWAL: Duration = Duration::from_millis(800);
 /// Time after which an order that failed is sent again.
 const RETRY: Duration = Duration::from_millis(150);
 /// Longest time for the answer to a grant.
@@ -54,7 +55,16 @@
 #[derive(Default)]
 pub struct Desk {
     services: BTreeMap<Name, Service>,
-    clients: BTreeMap<SocketAddr, Rc<Client>>,
+    clients: BTreeMap<SocketAddr, Clients>,
+}
+
+/// Connections to a target for orders.
+#[derive(Clone)]
+struct Clients {
+    /// Grants go one after the other, so that they need one connection.
+    grants: Rc<Mutex<Client>>,
+    /// Releases wait for work at the target, so each has its own call.
+    releases: Rc<Client>,
 }
 
 /// One divided service as its leader keeps it.
@@ -96,7 +106,7 @@
     loop {
         // Either the tick is over or there is something to do.
         let _ = timeout(TICK, context.work.notified()).await;
-        if !context.leads() {
+        if !context.leads() || context.leading.get().is_none() {
             desk.borrow_mut().services.clear();
             // Without duties there is nothing to look at so often.
             let _ = timeout(4 * TICK, context.work.notified()).await;
@@ -380,11 +390,14 @@
     let Some(address) = target.map(|it| it.address).or(line) else {
         return Done::Unsent;
     };
-    let client = desk
+    let clients = desk
         .borrow_mut()
         .clients
         .entry(address)
-        .or_insert_with(|| Rc::new(Client::new(address)))
+        .or_insert_with(|| Clients {
+            grants: Rc::new(Mutex::new(Client::new(address))),
+            releases: Rc::new(Client::new(address)),
+        })
         .clone();
     if !context.leads() {
         return Done::Unsent;
@@ -399,12 +412,16 @@
                 hold: *hold,
                 handover: handover.clone(),
             };
+            let client = clients.grants.lock().await;
+            if !context.leads() {
+                return Done::Unsent;
+            }
             orders::grant(&client, &owner.id, &grant, GRANT_LIMIT)
                 .await
                 .map(Done::from_grant)
         }
         Order::Release { .. } => {
-            orders::release(&client, &owner.id, keys, piece.fence, RELEASE_LIMIT)
+            orders::release(&clients.releases, &owner.id, keys, piece.fence, RELEASE_LIMIT)
                 .await
                 .map(Done::Released)
         }
--- a/crates/cowslipcross/src/direct/seat.rs
+++ b/crates/cowslipcross/src/direct/seat.rs
@@ -74,7 +74,11 @@
             }
             _ => {}
         }
+        if context.leads() && context.leading.get().is_none() {
+            begin(&context).await;
+        }
         if led && !context.leads() {
+            context.leading.set(None);
             context.note(events::LEADER_LOST, "lease not renewed".into());
         }
         // Either the tick is over or the owners have to be read at once.
@@ -170,12 +174,20 @@
     context.metrics.store_call("lease", end.is_ok());
     settle(context, sent, &end);
     if !led && context.leads() {
-        context.leader.set(Some(context.settings.listen.heartbeats));
-        context.leading.set(Some(Instant::now()));
-        let version = context.lead.borrow().version();
-        context.note(events::LEADER_GAINED, format!("version {version}"));
-        context.work.notify_one();
+        context.leading.set(None);
+    }
+}
+
+/// Begins to act as leader once the owners are known that the former leader recorded last.
+async fn begin(context: &Context) {
+    if !refresh(context).await || !context.leads() {
+        return;
     }
+    context.leader.set(Some(context.settings.listen.heartbeats));
+    context.leading.set(Some(Instant::now()));
+    let version = context.lead.borrow().version();
+    context.note(events::LEADER_GAINED, format!("version {version}"));
+    context.work.notify_one();
 }
 
 /// Takes the end of a write of the leader's row.
--- a/crates/decide/src/owners/keeper.rs
+++ b/crates/decide/src/owners/keeper.rs
@@ -72,7 +72,7 @@
     Released(Option<Name>),
     /// The order was not sent.
     Unsent,
-    /// Nothing listens at the target's address: its process has ended.
+    /// Another target has the address: the process of the one that was meant has ended.
     Ended,
     /// No answer: the order may have been carried out, or may be later.
     Unknown,
@@ -103,13 +103,8 @@
     handover: Option<Name>,
     /// Whether its owner gets a higher fence with the next record.
     refence: bool,
-    /// Refusals in a row of connections to its owner.
-    refusals: u32,
 }
 
-/// Refused connections in a row after which a target's process is taken as ended.
-const ENDED_AFTER: u32 = 2;
-
 /// Ownership of one service's keys as its leader keeps it.
 #[derive(Debug)]
 pub struct Keeper {
@@ -234,7 +229,7 @@
             if same {
                 kept.done(order, &done, &timing, (sent, now));
             }
-            if same && kept.refusals >= ENDED_AFTER {
+            if same && done == Done::Ended {
                 self.ended.extend(kept.piece.owner.clone());
             }
         }
@@ -328,7 +323,6 @@
             free: false,
             handover: None,
             refence: false,
-            refusals: 0,
         }
     }
 
@@ -370,9 +364,6 @@
     fn done(&mut self, order: &Order, done: &Done, timing: &Timing, span: (Instant, Instant)) {
         let (sent, now) = span;
         self.busy = false;
-        if !matches!(done, Done::Ended) {
-            self.refusals = 0;
-        }
         match (order, done) {
             (Order::Grant { hold, .. }, Done::Held) => {
                 let end = now + hold.mul_f64(CLOCK_MARGIN);
@@ -408,12 +399,8 @@
                 }
             },
             (_, Done::Ended) => {
-                self.refusals += 1;
-                self.next = now + timing.retry;
-                if self.refusals >= ENDED_AFTER {
-                    self.leave(None, now);
-                    self.set_free(None);
-                }
+                self.leave(None, now);
+                self.set_free(None);
             }
             _ => self.next = now + timing.retry,
         }
