--- a/crates/cowslipcross/src/direct/keep.rs
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -444,10 +444,10 @@
 
     fn from_error(error: &Error) -> Self {
         match error {
-            Error::Refused => Self::Ended,
             // Another target has the address: the owner's process has ended.
             Error::Misdirected => Self::Ended,
-            Error::NotSent(_) | Error::Rejected { .. } => Self::Unsent,
+            // A target that has as many connections as it may have refuses further ones, too.
+            Error::Refused | Error::NotSent(_) | Error::Rejected { .. } => Self::Unsent,
             Error::Unknown(_) | Error::Malformed { .. } => Self::Unknown,
         }
     }
