--- a/crates/cowslipcross/src/direct/beat.rs
+++ b/crates/cowslipcross/src/direct/beat.rs
@@ -7,7 +7,7 @@
     super::{
         clock,
         context::{Context, Owners},
-        keep,
+        keep, permit,
     },
     crate::events,
     cowslip_decide::{
@@ -40,8 +40,78 @@
         seat: u64,
         /// Versions of the owners by service, with what changed last.
         owners: BTreeMap<Name, Recorded>,
-        /// Instances that the leader hears of.
+        /// Instances that the leader assumes.
         instances: u32,
+        /// Instances that the leader hears of.
+        members: Vec<SocketAddr>,
+    },
+    /// Question for a permit to send.
+    #[serde(rename = "a")]
+    Ask {
+        /// Number of the question at the instance that asks.
+        #[serde(rename = "n")]
+        number: u64,
+        /// Service.
+        #[serde(rename = "s")]
+        service: Name,
+        /// Owner of the key, if the service is divided.
+        #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+        target: Option<Name>,
+        /// Rank of the request.
+        #[serde(rename = "r")]
+        rank: u8,
+        /// Milliseconds until its deadline.
+        #[serde(rename = "l")]
+        left: u64,
+        /// Milliseconds within which its answer earns its full worth.
+        #[serde(rename = "g")]
+        goal: u64,
+        /// Data centre of the instance that asks.
+        #[serde(rename = "z")]
+        data_centre: Name,
+        /// Targets that did not serve it before.
+        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+        tried: Vec<Name>,
+    },
+    /// Permit to send.
+    #[serde(rename = "p")]
+    Granted {
+        /// Number of the question.
+        #[serde(rename = "n")]
+        number: u64,
+        /// Target.
+        #[serde(rename = "t")]
+        target: Name,
+    },
+    /// The request waits for a permit.
+    #[serde(rename = "q")]
+    Queued {
+        /// Number of the question.
+        #[serde(rename = "n")]
+        number: u64,
+    },
+    /// The request cannot be served in time.
+    #[serde(rename = "x")]
+    Refused {
+        /// Number of the question.
+        #[serde(rename = "n")]
+        number: u64,
+        /// Milliseconds after which it should come back.
+        #[serde(rename = "w")]
+        wait: u64,
+    },
+    /// A permit is given back, or the question for one withdrawn.
+    #[serde(rename = "d")]
+    Done {
+        /// Number of the question.
+        #[serde(rename = "n")]
+        number: u64,
+        /// How the request ended.
+        #[serde(rename = "o")]
+        outcome: u8,
+        /// Momentary slowness that the target told.
+        #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+        slowness: Option<f64>,
     },
     /// From an instance to the leader: keys with the number of requests, by service.
     #[serde(rename = "r")]
@@ -86,6 +156,7 @@
             seat,
             owners,
             instances,
+            members,
         } => {
             let mut lead = context.lead.borrow_mut();
             if seat < lead.version() {
@@ -96,11 +167,13 @@
             context.leader.set(Some(from));
             context.heard.set(Some(Instant::now()));
             context.instances.set(instances.max(1));
+            *context.members.borrow_mut() = members;
             for (service, recorded) in &owners {
                 follow(context, service, recorded);
             }
         }
         Message::Report(keys) => keep::report(context, from, &keys),
+        about_permits => permit::take(context, about_permits, from),
     }
 }
 
@@ -173,7 +246,9 @@
         seat: context.lead.borrow().version(),
         owners: versions(context),
         instances: count,
+        members: members.clone(),
     };
+    context.members.borrow_mut().clone_from(&members);
     let message = fitting(message);
     let own = context.settings.listen.heartbeats;
     for address in members.into_iter().filter(|it| *it != own) {
@@ -246,6 +321,14 @@
     taken
 }
 
+/// Sends a datagram unless that would have to wait; datagrams may be lost anyway.
+pub fn send_now(context: &Context, message: &Message, to: SocketAddr) {
+    let sent = serde_json::to_vec(message).map(|bytes| context.beats.try_send_to(&bytes, to));
+    if !matches!(sent, Ok(Ok(_))) {
+        context.metrics.bad_datagram();
+    }
+}
+
 async fn send(context: &Context, message: &Message, to: SocketAddr) {
     let Ok(bytes) = serde_json::to_vec(message) else {
         return context.metrics.bad_datagram();
--- a/crates/cowslipcross/src/direct/choose.rs
+++ b/crates/cowslipcross/src/direct/choose.rs
@@ -30,16 +30,18 @@
 
 /// What follows for a request.
 pub enum Choice {
-    /// Send it to this target.
-    Send(Rc<Line>, Name),
+    /// Send it to the owner of its key.
+    Owner(Rc<Line>, Name),
+    /// Send it to any target of its service.
+    Any,
     /// Wait for a change, but not longer than this.
     Wait(Duration),
     /// No target can take it before this time has passed.
     Refuse(Duration),
 }
 
-/// Chooses the target of the next attempt; `tried` did not serve the request.
-pub fn choose(context: &Context, request: &Request, tried: &[Name]) -> Choice {
+/// Returns where the next attempt may go.
+pub fn choose(context: &Context, request: &Request) -> Choice {
     let now = Instant::now();
     let config = context.config.borrow().clone();
     let service = config
@@ -50,8 +52,9 @@
     };
     let targets = context.targets.borrow().clone();
     match request.key {
-        Some(key) => owner(context, request, service, (&targets, key), now),
-        None => any(context, request, service, (&targets, tried), now),
+        Some(key) => owner(context, request, (&targets, key), now),
+        None if service.divided => Choice::Refuse(LOOK),
+        None => Choice::Any,
     }
 }
 
@@ -59,7 +62,6 @@
 fn owner(
     context: &Context,
     request: &Request,
-    service: &Service,
     (targets, key): (&Targets, u16),
     now: Instant,
 ) -> Choice {
@@ -84,23 +86,45 @@
     if seen.leaving.is_some_and(left) || is_withdrawn(context, seen, now, OWNER_WITHDRAWN) {
         return Choice::Wait(LOOK);
     }
-    let line = line(context, seen, now);
-    if seen.is_cold(now)
-        && let Err(wait) = cold_token(context, service, &line, now)
-    {
-        return Choice::Refuse(wait);
+    Choice::Owner(line(context, seen, now), seen.target.id.clone())
+}
+
+/// Returns the connections to a target, if it is known.
+pub fn line_to(context: &Context, target: &Name) -> Option<Rc<Line>> {
+    let targets = context.targets.borrow();
+    let seen = targets.get(target)?;
+    Some(line(context, seen, Instant::now()))
+}
+
+/// Takes the part of a cold target's rate that is this instance's without a permit.
+///
+/// # Errors
+/// Returns when to come back.
+pub fn cold_share(context: &Context, request: &Request, target: &Name) -> Result<(), Duration> {
+    let now = Instant::now();
+    let config = context.config.borrow();
+    let service = config
+        .as_ref()
+        .and_then(|it| it.services.get(&request.service));
+    let targets = context.targets.borrow();
+    let cold = targets.get(target).filter(|seen| seen.is_cold(now));
+    match (service, cold) {
+        (Some(service), Some(seen)) => cold_token(context, service, &line(context, seen, now), now),
+        _ => Ok(()),
     }
-    Choice::Send(line, seen.target.id.clone())
 }
 
-/// Chooses among the targets of an undivided service.
-fn any(
+/// Chooses among the targets of an undivided service without a permit; `tried` did not serve it.
+///
+/// # Errors
+/// Returns when to come back.
+pub fn alone(
     context: &Context,
     request: &Request,
-    service: &Service,
-    (targets, tried): (&Targets, &[Name]),
-    now: Instant,
-) -> Choice {
+    tried: &[Name],
+) -> Result<(Rc<Line>, Name), Duration> {
+    let now = Instant::now();
+    let targets = context.targets.borrow().clone();
     let open: Vec<&Seen> = targets
         .of(&request.service)
         .filter(|seen| seen.leaving.is_none() && !is_withdrawn(context, seen, now, 0.0))
@@ -116,17 +140,16 @@
         })
         .min_by(|(_, _, a), (_, _, b)| a.total_cmp(b));
     if let Some((line, seen, _)) = best {
-        return Choice::Send(line, seen.target.id.clone());
+        return Ok((line, seen.target.id.clone()));
     }
-    let mut wait = None;
+    let mut wait = LOOK;
     for seen in open {
-        let line = line(context, seen, now);
-        match cold_token(context, service, &line, now) {
-            Ok(()) => return Choice::Send(line, seen.target.id.clone()),
-            Err(time) => wait = Some(wait.map_or(time, |it: Duration| it.min(time))),
+        match cold_share(context, request, &seen.target.id) {
+            Ok(()) => return Ok((line(context, seen, now), seen.target.id.clone())),
+            Err(time) => wait = time,
         }
     }
-    wait.map_or(Choice::Wait(LOOK), Choice::Refuse)
+    Err(wait)
 }
 
 /// Returns the time that a request would likely take at a target, in seconds.
--- a/crates/cowslipcross/src/direct/context.rs
+++ b/crates/cowslipcross/src/direct/context.rs
@@ -7,6 +7,7 @@
         keep::Reports,
         line::Line,
         metrics::Metrics,
+        permit::Permits,
         route::Routes,
         settings::{Bounds, Settings},
         view::Targets,
@@ -114,6 +115,10 @@
     pub heard: Cell<Option<Instant>>,
     /// Instances that the leader hears of.
     pub instances: Cell<u32>,
+    /// Instances that the leader hears of.
+    pub members: RefCell<Vec<SocketAddr>>,
+    /// Permits that this instance gives and asks for.
+    pub permits: Permits,
     /// Since when this instance is the leader.
     pub leading: Cell<Option<Instant>>,
     /// Keys of requests since the last report.
@@ -169,6 +174,8 @@
             leader: Cell::new(None),
             heard: Cell::new(None),
             instances: Cell::new(UNKNOWN_INSTANCES),
+            members: RefCell::default(),
+            permits: Permits::default(),
             leading: Cell::new(None),
             sample: RefCell::default(),
             reports: RefCell::default(),
--- a/crates/cowslipcross/src/direct/deliver.rs
+++ b/crates/cowslipcross/src/direct/deliver.rs
@@ -3,15 +3,17 @@
 use {
     super::{
         answer::{Answer, Refusal},
-        choose::{Choice, choose},
+        choose::{self, Choice, choose},
         context::Context,
         exchange::{self, End},
         line::{Line, NoLink},
+        permit::{self, Permit, Permitted},
         request::Request,
     },
     crate::events::{self, About, Code},
     cowslip_decide::{
         names::Name,
+        permits::Outcome,
         verdict::{Reason, Verdict},
     },
     std::{rc::Rc, time::Duration},
@@ -64,31 +66,83 @@
         if Instant::now() >= request.deadline {
             return given_up(&course, Reason::Deadline);
         }
-        match choose(&context, &request, &course.tried) {
+        let next = match choose(&context, &request) {
             Choice::Refuse(wait) => return refuse(Reason::Overload, wait),
-            Choice::Wait(look) => {
+            Choice::Wait(look) => Next::Change(look),
+            Choice::Owner(line, target) => {
+                course.waiting = None;
+                to_owner(&context, &request, &mut course, line, &target).await
+            }
+            Choice::Any => to_any(&context, &request, &mut course).await,
+        };
+        match next {
+            Next::Answer(answer) => return answer,
+            Next::Again(at) => sleep_until(at).await,
+            Next::Change(look) => {
                 if let Some(answer) = wait(&context, &request, &mut course, look).await {
                     return answer;
                 }
             }
-            Choice::Send(line, target) => {
-                course.waiting = None;
-                let end = attempt(&context, &request, line, &target).await;
-                let next = after(&context, &request, &mut course, &target, end);
-                match next {
-                    Next::Answer(answer) => return answer,
-                    Next::Again(at) => sleep_until(at).await,
-                    Next::Change(look) => {
-                        if let Some(answer) = wait(&context, &request, &mut course, look).await {
-                            return answer;
-                        }
-                    }
-                }
-            }
         }
     }
 }
 
+/// Sends a request to the owner of its key, with a permit if there is who gives one.
+async fn to_owner(
+    context: &Rc<Context>,
+    request: &Rc<Request>,
+    course: &mut Course,
+    line: Rc<Line>,
+    target: &Name,
+) -> Next {
+    let permit = match permit::ask(context, request, Some(target), &[]).await {
+        Permitted::Yes(permit, _) => Some(permit),
+        Permitted::No(wait) => return Next::Answer(given_back(course, wait)),
+        Permitted::Changed => return Next::Again(Instant::now()),
+        Permitted::Alone => None,
+    };
+    let same = |choice| matches!(choice, Choice::Owner(_, owner) if owner == *target);
+    if permit.is_some() && !same(choose(context, request)) {
+        return Next::Again(Instant::now());
+    }
+    if permit.is_none()
+        && let Err(wait) = choose::cold_share(context, request, target)
+    {
+        return Next::Answer(given_back(course, wait));
+    }
+    let end = attempt(context, request, line, target, permit).await;
+    after(context, request, course, target, end)
+}
+
+/// Sends a request to a target of an undivided service.
+async fn to_any(context: &Rc<Context>, request: &Rc<Request>, course: &mut Course) -> Next {
+    let (line, target, permit) = match permit::ask(context, request, None, &course.tried).await {
+        Permitted::Yes(permit, target) => match choose::line_to(context, &target) {
+            Some(line) => (line, target, Some(permit)),
+            None => {
+                course.tried.push(target);
+                return Next::Again(Instant::now());
+            }
+        },
+        Permitted::No(wait) => return Next::Answer(given_back(course, wait)),
+        Permitted::Changed => return Next::Again(Instant::now()),
+        Permitted::Alone => match choose::alone(context, request, &course.tried) {
+            Ok((line, target)) => (line, target, None),
+            Err(wait) => return Next::Answer(given_back(course, wait)),
+        },
+    };
+    let end = attempt(context, request, line, &target, permit).await;
+    after(context, request, course, &target, end)
+}
+
+/// Returns the answer to a request that nobody can serve in time.
+fn given_back(course: &Course, wait: Duration) -> Answer {
+    match course.run {
+        0 => refuse(Reason::Overload, wait),
+        _ => given_up(course, Reason::Overload),
+    }
+}
+
 /// Waits for a change; returns the refusal of a request that has waited long enough.
 async fn wait(
     context: &Context,
@@ -120,9 +174,18 @@
     request: &Rc<Request>,
     line: Rc<Line>,
     target: &Name,
+    permit: Option<Permit>,
 ) -> End {
     let most = connections(context, request);
-    let run = exchange::run(line, target.clone(), request.clone(), most);
+    let exchange = exchange::run(line.clone(), target.clone(), request.clone(), most);
+    let run = async move {
+        let end = exchange.await;
+        if let Some(permit) = permit {
+            permit.outcome.set(outcome(&end));
+            permit.slowness.set(line.slowness());
+        }
+        end
+    };
     if request.route.repeatable {
         return run.await;
     }
@@ -130,6 +193,18 @@
     ended.unwrap_or(End::Broken("attempt ended"))
 }
 
+/// Returns what the holder of the pool has to know of an end.
+fn outcome(end: &End) -> Outcome {
+    match end {
+        End::Whole(_) => Outcome::Served,
+        End::Unrun(signs) if signs.misdirected => Outcome::Unused,
+        End::Unrun(_) => Outcome::Shed,
+        End::Unsent(NoLink::Full) => Outcome::Unused,
+        End::Unsent(NoLink::Failed) => Outcome::Unsent,
+        End::Broken(_) | End::Late => Outcome::Broken,
+    }
+}
+
 /// Returns how many connections this instance may have to one target of the service.
 fn connections(context: &Context, request: &Request) -> u32 {
     let config = context.config.borrow();
--- a/crates/cowslipcross/src/direct/keep.rs
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -420,11 +420,15 @@
                 .await
                 .map(Done::from_grant)
         }
-        Order::Release { .. } => {
-            orders::release(&clients.releases, &owner.id, keys, piece.fence, RELEASE_LIMIT)
-                .await
-                .map(Done::Released)
-        }
+        Order::Release { .. } => orders::release(
+            &clients.releases,
+            &owner.id,
+            keys,
+            piece.fence,
+            RELEASE_LIMIT,
+        )
+        .await
+        .map(Done::Released),
     };
     end.unwrap_or_else(|error| Done::from_error(&error))
 }
--- a/crates/cowslipcross/src/direct/line.rs
+++ b/crates/cowslipcross/src/direct/line.rs
@@ -153,6 +153,12 @@
         self.open.set(self.open.get().saturating_sub(1));
     }
 
+    /// Returns how slow the target's last answer told it to be; 1 is as usual.
+    pub fn slowness(&self) -> Option<f64> {
+        let (load, _) = self.load.get()?;
+        Some(f64::from(load.slowness) / 100.0)
+    }
+
     /// Takes the time of an answer.
     pub fn answered(&self, time: Duration) {
         let seconds = time.as_secs_f64();
--- a/crates/cowslipcross/src/direct/metrics.rs
+++ b/crates/cowslipcross/src/direct/metrics.rs
@@ -24,6 +24,7 @@
     store: IntCounterVec,
     orders: IntCounterVec,
     datagrams: IntCounter,
+    silent: IntCounter,
     targets: IntGauge,
     unread: IntGauge,
     config: IntGauge,
@@ -73,6 +74,11 @@
                 "direct_bad_datagrams_total",
                 "Datagrams that could not be sent or read.",
             ),
+            silent: counter(
+                &registry,
+                "direct_silent_holders_total",
+                "Questions for a permit that got no reply.",
+            ),
             targets: gauge(
                 &registry,
                 "direct_targets",
@@ -172,6 +178,11 @@
         self.datagrams.inc();
     }
 
+    /// Counts a question for a permit that got no reply.
+    pub fn silent_holder(&self) {
+        self.silent.inc();
+    }
+
     /// Sets the number of targets, and of reports that cannot be read.
     pub fn reports(&self, targets: usize, unread: usize) {
         self.targets.set(targets as i64);
--- a/crates/cowslipcross/src/direct/mod.rs
+++ b/crates/cowslipcross/src/direct/mod.rs
@@ -17,6 +17,7 @@
 mod keep;
 mod line;
 mod metrics;
+mod permit;
 mod ports;
 mod request;
 mod route;
@@ -77,6 +78,7 @@
     spawn_local(follow::targets(context.clone()));
     spawn_local(beat::receive(context.clone()));
     spawn_local(beat::report(context.clone()));
+    spawn_local(permit::serve(context.clone()));
     spawn_local(seat::hold(context.clone()));
     spawn_local(keep::keep(context.clone()));
     spawn_local(reloads(context.clone(), path, reload));
--- /dev/null
+++ b/crates/cowslipcross/src/direct/permit.rs
@@ -0,0 +1,377 @@
+//! Permits to send: asked for by datagram, given by the instance that holds the pool.
+//!
+//! Each target of a divided service is a pool of its own; the targets of an undivided service are
+//! one. The members and a hash say who holds a pool, so no agreement is needed: two holders at once
+//! only let a little more through.
+
+use {
+    super::{
+        beat::{self, Message},
+        context::Context,
+        request::Request,
+    },
+    cowslip_decide::{
+        names::Name,
+        permits::{Ask, Asker, Member, Outcome, Pool, Reply},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep, timeout_at},
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Time after which a question without a reply is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(15);
+/// Questions without a reply after which the holder is passed over.
+const MOST_ASKS: u32 = 3;
+/// Time for which a silent holder is passed over.
+const SILENT: Duration = Duration::from_millis(1500);
+/// Time after which one that waits asks whether it still does.
+const CHECK: Duration = Duration::from_millis(300);
+/// Period in which the holder looks after those that wait.
+const TICK: Duration = Duration::from_millis(20);
+/// Multiple of its rate that a cold target gets; the bound is above it.
+const COLD_SHARE: f64 = 1.1;
+
+/// A pool: a service, and one target of it if it is divided.
+pub type PoolKey = (Name, Option<Name>);
+
+/// Permits that this instance gives and asks for.
+#[derive(Default)]
+pub struct Permits {
+    pools: RefCell<BTreeMap<PoolKey, Pool<SocketAddr>>>,
+    askers: RefCell<BTreeMap<Asker<SocketAddr>, PoolKey>>,
+    waiters: RefCell<BTreeMap<u64, Rc<Waiter>>>,
+    silent: RefCell<BTreeMap<SocketAddr, Instant>>,
+    next: Cell<u64>,
+}
+
+#[derive(Default)]
+struct Waiter {
+    reply: RefCell<Option<Reply>>,
+    told: Notify,
+}
+
+/// A permit; it goes back to its holder when this is dropped.
+pub struct Permit {
+    context: Rc<Context>,
+    holder: SocketAddr,
+    number: u64,
+    /// How the request ended.
+    pub outcome: Cell<Outcome>,
+    /// Momentary slowness that the target told.
+    pub slowness: Cell<Option<f64>>,
+}
+
+/// What the question for a permit came to.
+pub enum Permitted {
+    /// Send to this target.
+    Yes(Permit, Name),
+    /// The request cannot be served in time.
+    No(Duration),
+    /// Something changed while the request waited: choose again.
+    Changed,
+    /// No holder answers: send without a permit.
+    Alone,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let message = Message::Done {
+            number: self.number,
+            outcome: outcome_code(self.outcome.get()),
+            slowness: self.slowness.get(),
+        };
+        self.context
+            .permits
+            .waiters
+            .borrow_mut()
+            .remove(&self.number);
+        tell(&self.context, message, self.holder);
+    }
+}
+
+/// Asks for a permit to send to a target, or to any of an undivided service.
+pub async fn ask(
+    context: &Rc<Context>,
+    request: &Request,
+    target: Option<&Name>,
+    tried: &[Name],
+) -> Permitted {
+    let pool = (request.service.clone(), target.cloned());
+    let Some(holder) = holder(context, &pool) else {
+        return Permitted::Alone;
+    };
+    let permits = &context.permits;
+    let number = permits.next.get();
+    permits.next.set(number + 1);
+    let waiter = Rc::new(Waiter::default());
+    permits.waiters.borrow_mut().insert(number, waiter.clone());
+    let permit = Permit {
+        context: context.clone(),
+        holder,
+        number,
+        outcome: Cell::new(Outcome::Unused),
+        slowness: Cell::new(None),
+    };
+    let question = || {
+        let now = Instant::now();
+        Message::Ask {
+            number,
+            service: request.service.clone(),
+            target: target.cloned(),
+            rank: request.route.rank,
+            left: request.deadline.saturating_duration_since(now).as_millis() as u64,
+            goal: (request.arrived + request.route.goal)
+                .saturating_duration_since(now)
+                .as_millis() as u64,
+            data_centre: context.settings.data_centre.clone(),
+            tried: tried.to_vec(),
+        }
+    };
+    let mut unanswered = 0;
+    loop {
+        tell(context, question(), holder);
+        let limit = Instant::now() + ASK_AGAIN;
+        // A late reply counts as none; the question is repeated.
+        let _ = timeout_at(limit, waiter.heard()).await;
+        let mut reply = waiter.reply.borrow_mut().take();
+        if reply == Some(Reply::Queued) {
+            unanswered = 0;
+            let changed = context.changed.notified();
+            let check = (Instant::now() + CHECK).min(request.deadline);
+            tokio::select! {
+                _ = timeout_at(check, waiter.heard()) => {}
+                () = changed, if target.is_some() => return Permitted::Changed,
+            }
+            reply = waiter.reply.borrow_mut().take();
+            if Instant::now() >= request.deadline && reply.is_none() {
+                return Permitted::No(Duration::ZERO);
+            }
+        } else if reply.is_none() {
+            unanswered += 1;
+        }
+        match reply {
+            Some(Reply::Granted(target)) => return Permitted::Yes(permit, target),
+            Some(Reply::Refused(wait)) => return Permitted::No(wait),
+            _ if unanswered >= MOST_ASKS => {
+                let until = Instant::now() + SILENT;
+                permits.silent.borrow_mut().insert(holder, until);
+                context.metrics.silent_holder();
+                return Permitted::Alone;
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Waiter {
+    async fn heard(&self) {
+        // A stored notification may belong to a reply that was taken before.
+        while self.reply.borrow().is_none() {
+            self.told.notified().await;
+        }
+    }
+}
+
+/// Returns the member that holds a pool: the one with the highest hash that is not silent.
+fn holder(context: &Context, pool: &PoolKey) -> Option<SocketAddr> {
+    let now = Instant::now();
+    let silent = context.permits.silent.borrow();
+    let members = context.members.borrow();
+    let open = members
+        .iter()
+        .filter(|it| silent.get(it).is_none_or(|until| *until <= now));
+    let weight = |member: &&SocketAddr| {
+        let target = pool.1.as_deref().unwrap_or_default();
+        xxh3_64(format!("{} {target} {member}", pool.0).as_bytes())
+    };
+    open.max_by_key(weight).copied()
+}
+
+/// Takes a datagram about permits.
+pub fn take(context: &Context, message: Message, from: SocketAddr) {
+    match message {
+        Message::Ask {
+            number,
+            service,
+            target,
+            rank,
+            left,
+            goal,
+            data_centre,
+            tried,
+        } => {
+            let now = Instant::now();
+            let ask = Ask {
+                rank,
+                goal: now + Duration::from_millis(goal),
+                deadline: now + Duration::from_millis(left),
+                data_centre,
+                tried,
+            };
+            asked(context, (from, number), (service, target), ask);
+        }
+        Message::Done {
+            number,
+            outcome,
+            slowness,
+        } => returned(context, &(from, number), code_outcome(outcome), slowness),
+        Message::Granted { number, target } => told(context, number, Reply::Granted(target)),
+        Message::Queued { number } => told(context, number, Reply::Queued),
+        Message::Refused { number, wait } => {
+            told(context, number, Reply::Refused(Duration::from_millis(wait)));
+        }
+        _ => {}
+    }
+}
+
+fn told(context: &Context, number: u64, reply: Reply) {
+    let waiters = context.permits.waiters.borrow();
+    if let Some(waiter) = waiters.get(&number) {
+        *waiter.reply.borrow_mut() = Some(reply);
+        waiter.told.notify_one();
+    }
+}
+
+fn asked(context: &Context, asker: Asker<SocketAddr>, key: PoolKey, ask: Ask) {
+    let now = Instant::now();
+    let members = members(context, &key, now);
+    if members.is_empty() {
+        return;
+    }
+    let mut pools = context.permits.pools.borrow_mut();
+    let pool = pools.entry(key.clone()).or_default();
+    pool.update(&members, now);
+    let reply = pool.ask(asker, ask, now);
+    drop(pools);
+    if !matches!(reply, Reply::Refused(_)) {
+        context.permits.askers.borrow_mut().insert(asker, key);
+    }
+    answer(context, asker, reply);
+}
+
+fn returned(context: &Context, asker: &Asker<SocketAddr>, outcome: Outcome, slowness: Option<f64>) {
+    let Some(key) = context.permits.askers.borrow_mut().remove(asker) else {
+        return;
+    };
+    let now = Instant::now();
+    let mut pools = context.permits.pools.borrow_mut();
+    let Some(pool) = pools.get_mut(&key) else {
+        return;
+    };
+    pool.done(asker, outcome, slowness, now);
+    let replies = if pool.waiting() > 0 {
+        pool.serve(now)
+    } else {
+        Vec::new()
+    };
+    drop(pools);
+    send_all(context, replies);
+}
+
+/// Looks after those that wait, for ever.
+pub async fn serve(context: Rc<Context>) {
+    loop {
+        let waiting = context
+            .permits
+            .pools
+            .borrow()
+            .values()
+            .any(|it| it.waiting() > 0);
+        // Without anyone waiting there is only old state to drop.
+        sleep(if waiting { TICK } else { 5 * TICK }).await;
+        let now = Instant::now();
+        let mut replies = Vec::new();
+        let mut pools = context.permits.pools.borrow_mut();
+        for (key, pool) in pools.iter_mut().filter(|(_, pool)| pool.waiting() > 0) {
+            pool.update(&members(&context, key, now), now);
+            replies.extend(pool.serve(now));
+        }
+        drop(pools);
+        send_all(&context, replies);
+    }
+}
+
+fn send_all(context: &Context, replies: Vec<(Asker<SocketAddr>, Reply)>) {
+    for (asker, reply) in replies {
+        if matches!(reply, Reply::Refused(_)) {
+            context.permits.askers.borrow_mut().remove(&asker);
+        }
+        answer(context, asker, reply);
+    }
+}
+
+fn answer(context: &Context, (address, number): Asker<SocketAddr>, reply: Reply) {
+    let message = match reply {
+        Reply::Granted(target) => Message::Granted { number, target },
+        Reply::Queued => Message::Queued { number },
+        Reply::Refused(wait) => Message::Refused {
+            number,
+            wait: wait.as_millis() as u64,
+        },
+    };
+    tell(context, message, address);
+}
+
+/// Sends a datagram, or takes it at once if it is for this instance.
+fn tell(context: &Context, message: Message, to: SocketAddr) {
+    match to == context.settings.listen.heartbeats {
+        true => take(context, message, to),
+        false => beat::send_now(context, &message, to),
+    }
+}
+
+/// Returns the targets of a pool that may be sent to.
+fn members(context: &Context, key: &PoolKey, now: Instant) -> BTreeMap<Name, Member> {
+    let (service, only) = key;
+    let config = context.config.borrow();
+    let config = config.as_ref().and_then(|it| it.services.get(service));
+    let rate = config.map_or(0.0, |it| it.cold_rate * COLD_SHARE);
+    let targets = context.targets.borrow();
+    let withdrawn = context.withdrawn.borrow();
+    targets
+        .of(service)
+        .filter(|seen| match only {
+            // Whether the owner of keys may still be sent to is for the asker to say.
+            Some(only) => seen.target.id == *only,
+            None => seen.leaving.is_none() && !withdrawn.contains_key(&seen.target.data_centre),
+        })
+        .map(|seen| {
+            let member = Member {
+                slots: seen.target.slots.min(1000) as u32,
+                data_centre: seen.target.data_centre.clone(),
+                cold_rate: seen.is_cold(now).then_some(rate),
+            };
+            (seen.target.id.clone(), member)
+        })
+        .collect()
+}
+
+fn outcome_code(outcome: Outcome) -> u8 {
+    match outcome {
+        Outcome::Served => 0,
+        Outcome::Shed => 1,
+        Outcome::Unused => 2,
+        Outcome::Unsent => 3,
+        Outcome::Broken => 4,
+    }
+}
+
+fn code_outcome(code: u8) -> Outcome {
+    match code {
+        0 => Outcome::Served,
+        1 => Outcome::Shed,
+        2 => Outcome::Unused,
+        3 => Outcome::Unsent,
+        _ => Outcome::Broken,
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod names;
 pub mod order;
 pub mod owners;
+pub mod permits;
 pub mod plan;
 pub mod share;
 pub mod split;
--- /dev/null
+++ b/crates/decide/src/permits.rs
@@ -0,0 +1,360 @@
+//! Permits to send to the targets of a pool: one instance counts their slots and orders who waits.
+//!
+//! Answers the load in which many instances send to few slots: none of them sees what the others
+//! have sent, so that targets shed, or queue by arrival what should go by rank. Permits protect
+//! nothing but time: an instance that hears nothing of the holder sends without one.
+
+use {
+    crate::{names::Name, share::Tokens},
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Requests beyond its slots that a target gets while others wait: the next one is then at hand
+/// when a slot becomes free.
+const AHEAD: u32 = 1;
+/// Weight of a new time in the average of a target.
+const NEW_WEIGHT: f64 = 0.12;
+/// Time of an answer where none was seen, in seconds.
+const UNKNOWN_PACE: f64 = 0.1;
+/// Time beyond its deadline after which a permit that was not returned is void.
+const VOID: Duration = Duration::from_millis(300);
+/// Time for which a target that took no connection is passed over.
+const AVOIDED: Duration = Duration::from_millis(700);
+/// Time for which a target that shed a request gets no more than it has.
+const FULL: Duration = Duration::from_millis(100);
+/// Cost of a target in another data centre in relation to one nearby.
+const FAR: f64 = 1.15;
+/// Age at which a target's momentary slowness says nothing any more.
+const SLOWNESS_AGE: Duration = Duration::from_millis(300);
+/// Part of the expected wait after which a refused caller should come back.
+const COME_BACK: f64 = 0.5;
+/// Shortest advice when to come back.
+const LEAST_WAIT: Duration = Duration::from_millis(100);
+
+/// Who asks: an instance and its number for the request.
+pub type Asker<A> = (A, u64);
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Rank; 0 is the highest.
+    pub rank: u8,
+    /// Time within which its answer earns its full worth.
+    pub goal: Instant,
+    /// Time by which its caller wants the answer.
+    pub deadline: Instant,
+    /// Data centre of the instance that asks.
+    pub data_centre: Name,
+    /// Targets that did not serve it before.
+    pub tried: Vec<Name>,
+}
+
+/// What the holder tells an asker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Send to this target now.
+    Granted(Name),
+    /// Wait.
+    Queued,
+    /// The request cannot be served in time; come back after this.
+    Refused(Duration),
+}
+
+/// How the request of a permit ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target answered.
+    Served,
+    /// The target refused it without running it.
+    Shed,
+    /// It was not sent, for no fault of the target.
+    Unused,
+    /// The target took no connection.
+    Unsent,
+    /// There was no whole answer.
+    Broken,
+}
+
+/// A target of the pool as the holder knows it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Data centre.
+    pub data_centre: Name,
+    /// Requests a second while it is cold; `None` for a warm one.
+    pub cold_rate: Option<f64>,
+}
+
+/// The holder's view of a pool of targets.
+#[derive(Debug)]
+pub struct Pool<A: Ord> {
+    targets: BTreeMap<Name, Target<A>>,
+    queue: Vec<(Asker<A>, Ask)>,
+}
+
+#[derive(Debug)]
+struct Target<A: Ord> {
+    member: Member,
+    running: BTreeMap<Asker<A>, Permit>,
+    pace: Option<f64>,
+    slowness: Option<(f64, Instant)>,
+    avoid: Option<Instant>,
+    full: Option<Instant>,
+    tokens: Option<Tokens>,
+}
+
+#[derive(Debug)]
+struct Permit {
+    since: Instant,
+    void: Instant,
+}
+
+impl<A: Ord + Clone> Default for Pool<A> {
+    fn default() -> Self {
+        Self {
+            targets: BTreeMap::new(),
+            queue: Vec::new(),
+        }
+    }
+}
+
+impl<A: Ord + Clone> Pool<A> {
+    /// Takes the targets that may be sent to; permits of those that are not there any more end.
+    pub fn update(&mut self, members: &BTreeMap<Name, Member>, now: Instant) {
+        self.targets.retain(|name, _| members.contains_key(name));
+        for (name, member) in members {
+            let target = self.targets.entry(name.clone()).or_insert_with(|| Target {
+                member: member.clone(),
+                running: BTreeMap::new(),
+                pace: None,
+                slowness: None,
+                avoid: None,
+                full: None,
+                tokens: None,
+            });
+            target.member = member.clone();
+            match member.cold_rate {
+                None => target.tokens = None,
+                Some(_) if target.tokens.is_some() => {}
+                Some(_) => target.tokens = Some(Tokens::new(1.0, now)),
+            }
+        }
+    }
+
+    /// Returns whether nobody waits and no permit is out.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.targets.values().all(|it| it.running.is_empty())
+    }
+
+    /// Returns how many wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the average time of a target's answers in seconds.
+    pub fn pace(&self, target: &str) -> Option<f64> {
+        self.targets.get(target)?.pace
+    }
+
+    /// Takes a question; a repeated one gets the reply as it stands.
+    pub fn ask(&mut self, asker: Asker<A>, ask: Ask, now: Instant) -> Reply {
+        if let Some(target) = self.holds(&asker) {
+            return Reply::Granted(target);
+        }
+        if self.queue.iter().any(|(known, _)| *known == asker) {
+            return Reply::Queued;
+        }
+        let ahead = self.queue.iter().filter(|(_, it)| it.rank <= ask.rank);
+        let ahead = ahead.count();
+        if ahead == 0
+            && let Some(target) = self.pick(&ask, now)
+        {
+            self.permit(asker, &ask, &target, now);
+            return Reply::Granted(target);
+        }
+        if let Some(wait) = self.too_late(ahead, &ask, now) {
+            return Reply::Refused(wait);
+        }
+        self.queue.push((asker, ask));
+        Reply::Queued
+    }
+
+    /// Takes the end of a request with a permit, or of one that waits no longer.
+    pub fn done(
+        &mut self,
+        asker: &Asker<A>,
+        outcome: Outcome,
+        slowness: Option<f64>,
+        now: Instant,
+    ) {
+        self.queue.retain(|(known, _)| known != asker);
+        for target in self.targets.values_mut() {
+            if let Some(permit) = target.running.remove(asker) {
+                target.ended(outcome, now - permit.since, slowness, now);
+            }
+        }
+    }
+
+    /// Returns the replies to those that waited: permits for free slots, and refusals of those that
+    /// cannot be served in time any more.
+    pub fn serve(&mut self, now: Instant) -> Vec<(Asker<A>, Reply)> {
+        for target in self.targets.values_mut() {
+            target.running.retain(|_, permit| permit.void > now);
+        }
+        let mut replies = Vec::new();
+        let pace = self.quickest();
+        self.queue.retain(|(asker, ask)| {
+            let lost = ask.deadline.saturating_duration_since(now).as_secs_f64() < 0.5 * pace;
+            if lost {
+                replies.push((asker.clone(), Reply::Refused(LEAST_WAIT)));
+            }
+            !lost
+        });
+        // Those that can still earn their full worth go first within their rank.
+        let soon = Duration::from_secs_f64(pace);
+        self.queue
+            .sort_by_key(|(_, ask)| (ask.rank, ask.goal < now + soon, ask.goal));
+        let mut at = 0;
+        while at < self.queue.len() {
+            let ask = self.queue[at].1.clone();
+            let Some(target) = self.pick(&ask, now) else {
+                at += 1;
+                continue;
+            };
+            let (asker, _) = self.queue.remove(at);
+            self.permit(asker.clone(), &ask, &target, now);
+            replies.push((asker, Reply::Granted(target)));
+        }
+        replies
+    }
+
+    fn holds(&self, asker: &Asker<A>) -> Option<Name> {
+        let mut targets = self.targets.iter();
+        let found = targets.find(|(_, target)| target.running.contains_key(asker));
+        found.map(|(name, _)| name.clone())
+    }
+
+    fn permit(&mut self, asker: Asker<A>, ask: &Ask, target: &Name, now: Instant) {
+        if let Some(target) = self.targets.get_mut(target) {
+            let permit = Permit {
+                since: now,
+                void: ask.deadline + VOID,
+            };
+            target.running.insert(asker, permit);
+        }
+    }
+
+    /// Returns the target with a free slot at which the request ends soonest; a cold one only where
+    /// no warm one is open, and at its own rate.
+    fn pick(&mut self, ask: &Ask, now: Instant) -> Option<Name> {
+        let usual = self.usual();
+        let backlog = !self.queue.is_empty();
+        let open = |(name, target): &(&Name, &Target<A>)| {
+            !ask.tried.contains(name) && target.is_open(backlog, now)
+        };
+        let cost = |target: &Target<A>| target.cost(ask, usual, now);
+        let warm = self.targets.iter().filter(open);
+        let warm = warm.filter(|(_, target)| target.member.cold_rate.is_none());
+        let best = warm.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
+        if let Some((name, _)) = best {
+            return Some(name.clone());
+        }
+        let any_warm = self
+            .targets
+            .values()
+            .any(|it| it.member.cold_rate.is_none());
+        if any_warm {
+            return None;
+        }
+        let cold = self.targets.iter_mut();
+        let cold = cold.filter(|(name, it)| !ask.tried.contains(name) && it.is_open(false, now));
+        for (name, target) in cold {
+            let rate = target.member.cold_rate.unwrap_or_default();
+            let tokens = target.tokens.as_mut()?;
+            if tokens.take(rate, now).is_ok() {
+                return Some(name.clone());
+            }
+        }
+        None
+    }
+
+    /// Returns when to come back if a request behind `ahead` others would be served too late.
+    fn too_late(&self, ahead: usize, ask: &Ask, now: Instant) -> Option<Duration> {
+        let slots: u32 = self.targets.values().map(|it| it.member.slots).sum();
+        if slots == 0 {
+            return None;
+        }
+        let pace = self.usual();
+        let running: usize = self.targets.values().map(|it| it.running.len()).sum();
+        // Of the requests that run, the average one has half of its time left.
+        let queue = ahead as f64 + 0.5 * running.min(slots as usize) as f64;
+        let wait = queue * pace / f64::from(slots);
+        let left = ask.deadline.saturating_duration_since(now).as_secs_f64();
+        (wait + pace > left).then(|| LEAST_WAIT.max(Duration::from_secs_f64(wait * COME_BACK)))
+    }
+
+    /// Returns the average time of the pool's answers in seconds.
+    fn usual(&self) -> f64 {
+        let paces: Vec<f64> = self.targets.values().filter_map(|it| it.pace).collect();
+        match paces.len() {
+            0 => UNKNOWN_PACE,
+            count => paces.iter().sum::<f64>() / count as f64,
+        }
+    }
+
+    fn quickest(&self) -> f64 {
+        let paces = self.targets.values().filter_map(|it| it.pace);
+        let least = paces.fold(f64::INFINITY, f64::min);
+        if least.is_finite() {
+            least
+        } else {
+            UNKNOWN_PACE
+        }
+    }
+}
+
+impl<A: Ord> Target<A> {
+    fn is_open(&self, backlog: bool, now: Instant) -> bool {
+        let blocked = |until: Option<Instant>| until.is_some_and(|until| until > now);
+        if blocked(self.avoid) || blocked(self.full) {
+            return false;
+        }
+        let ahead = if backlog { AHEAD } else { 0 };
+        (self.running.len() as u32) < self.member.slots + ahead
+    }
+
+    /// Returns the time after which a request would likely end, in seconds.
+    fn cost(&self, ask: &Ask, usual: f64, now: Instant) -> f64 {
+        let pace = self.pace.unwrap_or(usual);
+        let crowd = 1.0 + 0.5 * self.running.len() as f64 / f64::from(self.member.slots.max(1));
+        let slow = match self.slowness {
+            Some((slowness, at)) if now - at < SLOWNESS_AGE => slowness.clamp(0.5, 5.0),
+            _ => 1.0,
+        };
+        let far = if ask.data_centre == self.member.data_centre {
+            1.0
+        } else {
+            FAR
+        };
+        pace * crowd * slow * far
+    }
+
+    fn ended(&mut self, outcome: Outcome, time: Duration, slowness: Option<f64>, now: Instant) {
+        if let Some(slowness) = slowness {
+            self.slowness = Some((slowness, now));
+        }
+        match outcome {
+            Outcome::Served => {
+                let seconds = time.as_secs_f64();
+                let pace = self.pace.unwrap_or(seconds);
+                self.pace = Some(pace + NEW_WEIGHT * (seconds - pace));
+                self.full = None;
+            }
+            Outcome::Shed => self.full = Some(now + FULL),
+            Outcome::Unsent => self.avoid = Some(now + AVOIDED),
+            Outcome::Broken | Outcome::Unused => {}
+        }
+    }
+}
