--- a/crates/cowslipcross/src/direct/beat.rs
+++ b/crates/cowslipcross/src/direct/beat.rs
@@ -113,9 +113,16 @@
         #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
         slowness: Option<f64>,
     },
-    /// From an instance to the leader: keys with the number of requests, by service.
+    /// From an instance to the leader.
     #[serde(rename = "r")]
-    Report(BTreeMap<Name, Vec<(u16, u32)>>),
+    Report {
+        /// Keys with the number of requests, by service.
+        #[serde(rename = "k")]
+        keys: BTreeMap<Name, Vec<(u16, u32)>>,
+        /// Average time of the answers of targets in milliseconds.
+        #[serde(rename = "p")]
+        paces: BTreeMap<Name, u32>,
+    },
 }
 
 /// Version of the recorded owners of a service, and what a fresh record changed.
@@ -172,7 +179,7 @@
                 follow(context, service, recorded);
             }
         }
-        Message::Report(keys) => keep::report(context, from, &keys),
+        Message::Report { keys, paces } => keep::report(context, from, &keys, paces),
         about_permits => permit::take(context, about_permits, from),
     }
 }
@@ -223,11 +230,11 @@
 pub async fn report(context: Rc<Context>) {
     loop {
         sleep(REPORT).await;
+        // Old keys say little, so they go where there is no leader, too.
         let keys = drain(&context);
-        match context.leader.get() {
-            Some(leader) => send(&context, &Message::Report(keys), leader).await,
-            // The leader is not known yet, and old keys say little.
-            None => drop(keys),
+        let paces = permit::paces(&context);
+        if let Some(leader) = context.leader.get() {
+            send(&context, &Message::Report { keys, paces }, leader).await;
         }
     }
 }
--- a/crates/cowslipcross/src/direct/keep.rs
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -47,9 +47,13 @@
 /// Time for which the first targets are awaited before keys are given out.
 const GATHER: Duration = Duration::from_millis(1200);
 /// Period in which keys are spread anew.
-const BALANCE: Duration = Duration::from_millis(1000);
+const BALANCE: Duration = Duration::from_millis(500);
 /// Most transfers that are begun at a time.
-const TRANSFERS: usize = 3;
+const TRANSFERS: usize = 6;
+
+/// Bounds of a target's speed in relation to the others.
+const SLOWEST: f64 = 0.2;
+const FASTEST: f64 = 2.0;
 
 /// What a leader knows beyond the store; another instance's is empty.
 #[derive(Default)]
@@ -83,14 +87,22 @@
 pub struct Reports {
     /// Load of keys by service.
     loads: BTreeMap<Name, Loads>,
+    /// Average time of targets' answers in milliseconds.
+    paces: BTreeMap<Name, u32>,
     /// Instances that report it.
     pub members: Members,
 }
 
 /// Takes the load of keys that another instance reports.
-pub fn report(context: &Context, from: SocketAddr, keys: &BTreeMap<Name, Vec<(u16, u32)>>) {
+pub fn report(
+    context: &Context,
+    from: SocketAddr,
+    keys: &BTreeMap<Name, Vec<(u16, u32)>>,
+    paces: BTreeMap<Name, u32>,
+) {
     let mut reports = context.reports.borrow_mut();
     reports.members.insert(from, Instant::now());
+    reports.paces.extend(paces);
     for (service, keys) in keys {
         let loads = reports.loads.entry(service.clone()).or_default();
         for (key, requests) in keys {
@@ -142,7 +154,7 @@
     }
     let now = Instant::now();
     let all = follow::usable(context, name);
-    let capacity = capacity(&all);
+    let capacity = capacity(context, &all);
     {
         let mut desk = desk.borrow_mut();
         let Some(service) = desk.services.get_mut(name) else {
@@ -237,12 +249,25 @@
     true
 }
 
-/// Returns the targets that may get keys; cold ones only where there is no other.
-fn capacity(all: &BTreeMap<Name, (u64, bool, bool)>) -> Capacity {
+/// Returns what the targets that may get keys can do; cold ones only where there is no other.
+fn capacity(context: &Context, all: &BTreeMap<Name, (u64, bool, bool)>) -> Capacity {
+    let mut reports = context.reports.borrow_mut();
+    let targets = context.targets.borrow();
+    reports.paces.retain(|id, _| targets.get(id).is_some());
+    let paces: Vec<u32> = all
+        .keys()
+        .filter_map(|id| reports.paces.get(id).copied())
+        .collect();
+    let usual = f64::from(paces.iter().sum::<u32>()) / paces.len().max(1) as f64;
+    let speed = |id: &Name| match reports.paces.get(id) {
+        Some(pace) => (usual / f64::from(*pace).max(1.0)).clamp(SLOWEST, FASTEST),
+        None => 1.0,
+    };
+    let slots = |id: &Name| targets.get(id).map_or(1, |it| it.target.slots) as f64;
     let open = |cold: bool| {
         let chosen = all.iter().filter(move |(_, it)| it.1 && it.2 == cold);
         chosen
-            .map(|(id, _)| (id.clone(), 1.0))
+            .map(|(id, _)| (id.clone(), slots(id) * speed(id)))
             .collect::<Capacity>()
     };
     let warm = open(false);
@@ -253,14 +278,20 @@
 fn spread(context: &Context, service: &mut Service, name: &Name, capacity: &Capacity) {
     let now = Instant::now();
     service.keeper.divide(capacity.len() as u32);
-    if now - service.balanced < BALANCE || service.keeper.moving() > 0 {
+    if now - service.balanced < BALANCE {
         return;
     }
     service.balanced = now;
     let mut reports = context.reports.borrow_mut();
     let loads = reports.loads.entry(name.clone()).or_default();
     loads.fade(now);
-    let transfers = balance(&service.keeper.table(), loads, capacity, TRANSFERS);
+    let transfers = balance(
+        &service.keeper.table(),
+        loads,
+        capacity,
+        TRANSFERS,
+        |piece| !service.keeper.is_settled(piece.first),
+    );
     for transfer in transfers {
         let (first, last) = (transfer.first, transfer.last);
         service.keeper.transfer(first, last, &transfer.to, now);
--- a/crates/cowslipcross/src/direct/permit.rs
+++ b/crates/cowslipcross/src/direct/permit.rs
@@ -278,6 +278,18 @@
     send_all(context, replies);
 }
 
+/// Returns the average times of the targets of divided services that this instance holds, in
+/// milliseconds.
+pub fn paces(context: &Context) -> BTreeMap<Name, u32> {
+    let pools = context.permits.pools.borrow();
+    let paces = pools.iter().filter_map(|((_, target), pool)| {
+        let target = target.as_ref()?;
+        let pace = pool.pace(target)?;
+        Some((target.clone(), (1000.0 * pace) as u32))
+    });
+    paces.collect()
+}
+
 /// Looks after those that wait, for ever.
 pub async fn serve(context: Rc<Context>) {
     loop {
--- a/crates/decide/src/owners/keeper.rs
+++ b/crates/decide/src/owners/keeper.rs
@@ -154,13 +154,10 @@
         &self.ended
     }
 
-    /// Returns whether any keys are on their way to another owner.
-    pub fn moving(&self) -> usize {
-        let moving = self
-            .kept
-            .iter()
-            .filter(|kept| kept.leave.is_some() || kept.free);
-        moving.count()
+    /// Returns whether a piece that begins with this key stays with its owner.
+    pub fn is_settled(&self, first: u16) -> bool {
+        let kept = self.kept.iter().find(|kept| kept.piece.first == first);
+        kept.is_some_and(|kept| kept.leave.is_none() && !kept.free && !kept.refence)
     }
 
     /// Marks the keys of owners that may not own any: unknown, unusable, or in another run.
--- a/crates/decide/src/owners/spread.rs
+++ b/crates/decide/src/owners/spread.rs
@@ -8,13 +8,15 @@
 };
 
 /// Time in which the weight of a request falls to a third.
-const MEMORY: Duration = Duration::from_secs(4);
+const MEMORY: Duration = Duration::from_secs(3);
 /// Load of a key that got no request, in requests; it spreads keys before any traffic is seen.
 const REST: f64 = 0.0005;
 /// Ratio of the highest to the mean load from which keys are moved.
 const UNEVEN: f64 = 1.25;
 /// Smallest share of the mean load that is worth a move.
 const WORTH: f64 = 0.08;
+/// Multiple of a load's standard deviation that a difference must exceed to be one.
+const CERTAIN: f64 = 1.2;
 /// Pieces for each target from which only a whole piece is moved.
 const MOST_PIECES: usize = 6;
 /// Weight below which a key is forgotten, in requests.
@@ -105,18 +107,35 @@
 }
 
 /// Returns at most `count` transfers that make the loads more even.
-pub fn balance(table: &Table, loads: &Loads, capacity: &Capacity, count: usize) -> Vec<Transfer> {
+///
+/// Pieces for which `fixed` is true stay where they are.
+pub fn balance(
+    table: &Table,
+    loads: &Loads,
+    capacity: &Capacity,
+    count: usize,
+    fixed: impl Fn(&Piece) -> bool,
+) -> Vec<Transfer> {
     let mut sums: BTreeMap<Name, f64> = capacity.keys().map(|name| (name.clone(), 0.0)).collect();
     for piece in &table.pieces {
         if let Some(sum) = piece.owner.as_ref().and_then(|it| sums.get_mut(&it.id)) {
             *sum += loads.of(piece.first, piece.last);
         }
     }
+    let table = Table {
+        pieces: table
+            .pieces
+            .iter()
+            .filter(|it| !fixed(it))
+            .cloned()
+            .collect(),
+        fence: table.fence,
+    };
     let total: f64 = sums.values().sum();
     let size: f64 = capacity.values().sum();
     let mut moved: Vec<Transfer> = Vec::new();
     while moved.len() < count && size > 0.0 {
-        let Some(next) = step(table, loads, capacity, &sums, total / size, &moved) else {
+        let Some(next) = step(&table, loads, capacity, &sums, total / size, &moved) else {
             break;
         };
         let weight = loads.of(next.1.first, next.1.last);
@@ -143,10 +162,12 @@
     let least = capacity
         .keys()
         .min_by(|a, b| ratio(a).total_cmp(&ratio(b)))?;
-    if ratio(most) < UNEVEN * mean {
+    let surplus = (ratio(most) - mean) * capacity[most];
+    // The number of requests in a while varies by its square root.
+    let noise = CERTAIN * sums.get(most).copied().unwrap_or(0.0).sqrt();
+    if ratio(most) < UNEVEN * mean || surplus < noise {
         return None;
     }
-    let surplus = (ratio(most) - mean) * capacity[most];
     let room = (mean - ratio(least)) * capacity[least];
     // Half of the difference at most, so that the receiver doesn't become the fullest.
     let wanted = surplus
