--- a/crates/decide/src/owners/keeper.rs
+++ b/crates/decide/src/owners/keeper.rs
@@ -191,6 +191,7 @@
             true => self.timing.long_hold,
             false => self.timing.hold,
         };
+        self.join();
         let mut orders = Vec::new();
         for kept in &mut self.kept {
             kept.expire(now);
@@ -293,6 +294,22 @@
         }
     }
 
+    /// Joins neighbours that belong to one owner under one fence, so that one grant serves both.
+    fn join(&mut self) {
+        self.kept.dedup_by(|next, kept| {
+            let same = kept.piece.owner == next.piece.owner && kept.piece.fence == next.piece.fence;
+            let quiet = kept.is_quiet() && next.is_quiet();
+            if same && quiet {
+                kept.piece.last = next.piece.last;
+                kept.until = kept.until.max(next.until);
+                kept.late = kept.late.max(next.late);
+                kept.lost = kept.lost.max(next.lost);
+                kept.next = kept.next.min(next.next);
+            }
+            same && quiet
+        });
+    }
+
     fn cut(&mut self, first: u16, last: u16) {
         let mut table = self.table();
         table.cut(first, last);
@@ -342,6 +359,12 @@
         self.handover = handover;
     }
 
+    /// Returns whether nothing is under way.
+    fn is_quiet(&self) -> bool {
+        let waits = self.busy || self.free || self.refence || self.leave.is_some();
+        !waits && self.piece.owner.is_some() && self.handover.is_none()
+    }
+
     /// Returns whether the owner has yet to take the fence that makes it refuse late grants.
     fn shields(&self) -> bool {
         self.late.is_some() && self.piece.fence > self.lost
--- /dev/null
+++ b/crates/decide/tests/owners.rs
@@ -0,0 +1,189 @@
+//! Ownership of keys: no two targets hold one key, whatever is lost, late or slow.
+
+mod owners_world;
+
+use {
+    cowslip_decide::{
+        names::{Fence, Name},
+        owners::{Candidate, Capacity, Done, Keeper, Life, Loads, Order, Piece, Table, balance},
+    },
+    owners_world::{TIMING, World},
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::Instant,
+};
+
+fn life(id: &str) -> Life {
+    Life {
+        id: id.into(),
+        born: 1,
+    }
+}
+
+fn owned(id: &str) -> Table {
+    Table {
+        pieces: vec![Piece {
+            first: 0,
+            last: u16::MAX,
+            owner: Some(life(id)),
+            fence: Fence(1),
+        }],
+        fence: Fence(1),
+    }
+}
+
+fn candidates(usable: &[(&str, bool)]) -> BTreeMap<Name, Candidate> {
+    let candidate = |usable: &bool| Candidate {
+        born: 1,
+        usable: *usable,
+    };
+    usable
+        .iter()
+        .map(|(id, usable)| (Name::from(*id), candidate(usable)))
+        .collect()
+}
+
+#[test]
+fn worlds_of_losses_never_give_a_key_to_two() {
+    let seeds = std::env::var("COWSLIP_FUZZ_SEEDS").ok();
+    let count = seeds.and_then(|it| it.parse().ok()).unwrap_or(150);
+    for seed in 0..count {
+        World::new(seed).play();
+    }
+}
+
+#[test]
+fn a_release_frees_keys_only_after_its_answer() {
+    let now = Instant::now();
+    let mut keeper = Keeper::new(&Table::default(), TIMING, now);
+    keeper.review(&candidates(&[("a", true)]), now);
+    let table = keeper.proposal(|_, _| Some(life("a"))).expect("free keys");
+    keeper.recorded(&table, now);
+    let grants = keeper.orders(false, now);
+    assert!(matches!(grants.as_slice(), [Order::Grant { .. }]));
+    keeper.done(&grants[0], Done::Held, now, now);
+    keeper.review(&candidates(&[("a", false), ("b", true)]), now);
+    let releases = keeper.orders(false, now);
+    assert!(matches!(releases.as_slice(), [Order::Release { .. }]));
+    assert!(!keeper.wants_record());
+    keeper.done(&releases[0], Done::Released(Some("h".into())), now, now);
+    assert!(keeper.wants_record());
+    let table = keeper.proposal(|_, _| Some(life("b"))).expect("free keys");
+    keeper.recorded(&table, now);
+    let grants = keeper.orders(false, now);
+    let Order::Grant {
+        piece, handover, ..
+    } = &grants[0]
+    else {
+        panic!("{grants:?}");
+    };
+    assert_eq!((piece.fence, handover.as_deref()), (Fence(2), Some("h")));
+}
+
+#[test]
+fn a_silent_owner_keeps_its_keys_until_its_hold_has_run_out() {
+    let start = Instant::now();
+    let mut keeper = Keeper::new(&owned("a"), TIMING, start);
+    let none = candidates(&[("a", false), ("b", true)]);
+    let mut now = start;
+    while now < start + TIMING.max_hold {
+        keeper.review(&none, now);
+        for order in keeper.orders(false, now) {
+            assert!(matches!(order, Order::Release { .. }), "{order:?}");
+            keeper.done(&order, Done::Unknown, now, now);
+        }
+        assert!(!keeper.wants_record(), "after {:?}", now - start);
+        now += Duration::from_millis(100);
+    }
+    now = start + TIMING.max_hold * 2;
+    keeper.orders(false, now);
+    assert!(keeper.wants_record());
+}
+
+#[test]
+fn an_inherited_owner_takes_a_higher_fence_before_its_release_counts() {
+    // A grant of the former leader may still be on its way, and the owner would take it.
+    let now = Instant::now();
+    let mut keeper = Keeper::new(&owned("a"), TIMING, now);
+    let all = candidates(&[("a", false), ("b", true)]);
+    keeper.review(&all, now);
+    let release = keeper.orders(false, now);
+    keeper.done(&release[0], Done::Released(None), now, now);
+    let table = keeper
+        .proposal(|_, _| panic!("not free yet"))
+        .expect("a higher fence");
+    assert_eq!(table.pieces[0].owner, Some(life("a")));
+    keeper.recorded(&table, now);
+    let grant = keeper.orders(false, now);
+    assert!(
+        matches!(grant.as_slice(), [Order::Grant { .. }]),
+        "{grant:?}"
+    );
+    keeper.done(&grant[0], Done::Held, now, now);
+    let release = keeper.orders(false, now);
+    keeper.done(&release[0], Done::Released(None), now, now);
+    let table = keeper.proposal(|_, _| Some(life("b"))).expect("free keys");
+    assert_eq!(table.pieces[0].fence, Fence(3));
+}
+
+#[test]
+fn keys_of_a_target_whose_address_is_another_ones_are_free_at_once() {
+    let now = Instant::now();
+    let mut keeper = Keeper::new(&owned("a"), TIMING, now);
+    keeper.review(&candidates(&[("a", true)]), now);
+    let grant = keeper.orders(false, now);
+    keeper.done(&grant[0], Done::Ended, now, now);
+    assert!(keeper.wants_record());
+    assert!(keeper.ended().contains(&life("a")));
+}
+
+#[test]
+fn changes_put_an_earlier_table_right() {
+    let mut later = owned("a");
+    later.cut(100, 200);
+    later.pieces[1].owner = Some(life("b"));
+    later.pieces[1].fence = later.next_fence();
+    let mut earlier = owned("a");
+    earlier.apply(&later.changes(&earlier));
+    assert_eq!(earlier, later);
+    assert!(earlier.is_whole());
+}
+
+#[test]
+fn a_hot_range_is_divided_among_targets_within_a_few_rounds() {
+    let names: Vec<Name> = (0..10).map(|at| Name::from(format!("t{at}"))).collect();
+    let capacity: Capacity = names.iter().map(|name| (name.clone(), 1.0)).collect();
+    let mut table = Table::default();
+    for at in 1..10u16 {
+        table.cut(at * 6553, u16::MAX);
+    }
+    for (piece, name) in table.pieces.iter_mut().zip(&names) {
+        piece.owner = Some(life(name));
+    }
+    let mut loads = Loads::default();
+    for key in 0..u16::MAX / 64 {
+        loads.add(key * 64, 0.5);
+    }
+    for key in 20_000..20_200 {
+        loads.add(key, 3.0);
+    }
+    for _ in 0..6 {
+        for transfer in balance(&table, &loads, &capacity, 6, |_| false) {
+            table.cut(transfer.first, transfer.last);
+            for piece in &mut table.pieces {
+                if transfer.first <= piece.first && piece.last <= transfer.last {
+                    piece.owner = Some(life(&transfer.to));
+                }
+            }
+        }
+    }
+    let load = |name: &Name| -> f64 {
+        let own = table
+            .pieces
+            .iter()
+            .filter(|it| it.owner == Some(life(name)));
+        own.map(|piece| loads.of(piece.first, piece.last)).sum()
+    };
+    let most = names.iter().map(load).fold(0.0, f64::max);
+    let mean = names.iter().map(load).sum::<f64>() / 10.0;
+    assert!(most < 1.6 * mean, "most {most}, mean {mean}");
+}
--- /dev/null
+++ b/crates/decide/tests/owners_world/mod.rs
@@ -0,0 +1,412 @@
+//! A world of targets with clocks of their own, lost and late orders, and leaders that change.
+
+use {
+    cowslip_decide::{
+        names::{Fence, Name},
+        owners::{Candidate, Done, Keeper, Life, Order, Piece, Table, Timing},
+    },
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Periods and bounds as the program has them.
+pub const TIMING: Timing = Timing {
+    hold: Duration::from_millis(3200),
+    long_hold: Duration::from_secs(10),
+    max_hold: Duration::from_secs(10),
+    renewal: Duration::from_millis(800),
+    retry: Duration::from_millis(150),
+    flight: Duration::from_millis(500),
+};
+
+const TICK: Duration = Duration::from_millis(10);
+const TROUBLE: u32 = 4000;
+const CALM: u32 = 2500;
+const TARGETS: usize = 6;
+
+/// A range that a target holds.
+#[derive(Clone, Debug)]
+struct Held {
+    first: u16,
+    last: u16,
+    fence: Fence,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct Target {
+    born: u64,
+    up: bool,
+    usable: bool,
+    listed: bool,
+    reachable: bool,
+    slow: f64,
+    held: Vec<Held>,
+    /// Highest fence seen, by range.
+    seen: Vec<(u16, u16, Fence)>,
+}
+
+/// An order on its way, or waiting for its end.
+struct Flight {
+    order: Order,
+    sent: Instant,
+    target: usize,
+    /// Run of the target that it was sent to.
+    born: u64,
+    arrive: Instant,
+    apply: Option<Instant>,
+    answer: Option<Instant>,
+    /// Time as leader in which it was sent.
+    reign: u32,
+    result: Option<Done>,
+}
+
+/// The world.
+pub struct World {
+    seed: u64,
+    rng: StdRng,
+    now: Instant,
+    targets: Vec<Target>,
+    table: Table,
+    keeper: Option<Keeper>,
+    reign: u32,
+    vacant: u32,
+    calm: bool,
+    flights: Vec<Flight>,
+}
+
+impl World {
+    /// Creates a world of which `seed` decides everything.
+    pub fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let now = Instant::now();
+        let target = |slow| Target {
+            born: 1,
+            up: true,
+            usable: true,
+            listed: true,
+            reachable: true,
+            slow,
+            held: Vec::new(),
+            seen: Vec::new(),
+        };
+        let targets = (0..TARGETS).map(|_| target(rng.random_range(1.0..1.02)));
+        let targets = targets.collect();
+        Self {
+            seed,
+            rng,
+            now,
+            targets,
+            table: Table::default(),
+            keeper: None,
+            reign: 0,
+            vacant: 1,
+            calm: false,
+            flights: Vec::new(),
+        }
+    }
+
+    /// Plays troubles, then calm; checks every tick that no key is held by two.
+    pub fn play(&mut self) {
+        for tick in 0..TROUBLE + CALM {
+            self.now += TICK;
+            if tick < TROUBLE {
+                self.trouble();
+            } else if tick == TROUBLE {
+                self.heal();
+            }
+            self.land();
+            self.lead();
+            self.check();
+        }
+        self.check_served();
+    }
+
+    fn trouble(&mut self) {
+        let at = self.rng.random_range(0..TARGETS);
+        let target = &mut self.targets[at];
+        match self.rng.random_range(0..1500) {
+            0 => target.usable = !target.usable,
+            1 => target.reachable = !target.reachable,
+            2 => target.listed = !target.listed,
+            3 => {
+                // It ends and starts again under its id; it knows nothing of before.
+                target.born += 1;
+                target.held.clear();
+                target.seen.clear();
+            }
+            4 => {
+                self.keeper = None;
+                self.vacant = self.rng.random_range(1..400);
+            }
+            _ => {}
+        }
+    }
+
+    fn heal(&mut self) {
+        self.calm = true;
+        for target in &mut self.targets {
+            target.usable = true;
+            target.listed = true;
+            target.reachable = true;
+            target.up = true;
+        }
+    }
+
+    /// Acts as leader, if there is one.
+    fn lead(&mut self) {
+        let Some(mut keeper) = self.keeper.take() else {
+            self.vacant = self.vacant.saturating_sub(1);
+            if self.vacant == 0 {
+                self.reign += 1;
+                self.keeper = Some(Keeper::new(&self.table, TIMING, self.now));
+            }
+            return;
+        };
+        let listed = self.targets.iter().enumerate().filter(|(_, it)| it.listed);
+        let all: BTreeMap<Name, Candidate> = listed
+            .map(|(at, target)| {
+                let candidate = Candidate {
+                    born: target.born,
+                    usable: target.usable,
+                };
+                (name(at), candidate)
+            })
+            .collect();
+        keeper.review(&all, self.now);
+        keeper.divide(TARGETS as u32);
+        if !self.calm && self.rng.random_bool(0.01) {
+            let first: u16 = self.rng.random_range(0..65_000);
+            let to = name(self.rng.random_range(0..TARGETS));
+            keeper.transfer(first, first + 5, &to, self.now);
+        }
+        self.record(&mut keeper, &all);
+        for order in keeper.orders(false, self.now) {
+            self.send(order);
+        }
+        self.keeper = Some(keeper);
+    }
+
+    fn record(&mut self, keeper: &mut Keeper, all: &BTreeMap<Name, Candidate>) {
+        if !keeper.wants_record() {
+            return;
+        }
+        let ended = keeper.ended().clone();
+        let open: Vec<Life> = all
+            .iter()
+            .filter(|(_, it)| it.usable)
+            .map(|(id, it)| Life {
+                id: id.clone(),
+                born: it.born,
+            })
+            .filter(|life| !ended.contains(life))
+            .collect();
+        let rng = &mut self.rng;
+        let table = keeper.proposal(|_, wish| {
+            let wished = open.iter().find(|it| Some(&it.id) == wish);
+            wished
+                .or_else(|| open.get(rng.random_range(0..open.len().max(1))))
+                .cloned()
+        });
+        let Some(table) = table else { return };
+        assert!(table.is_whole(), "seed {}: {table:?}", self.seed);
+        self.check_fences(&table);
+        if !self.calm && self.rng.random_bool(0.1) {
+            // The store refused the write.
+            return;
+        }
+        keeper.recorded(&table, self.now);
+        self.table = table;
+    }
+
+    fn send(&mut self, order: Order) {
+        let (Order::Grant { piece, .. } | Order::Release { piece }) = &order;
+        let owner = piece.owner.clone().expect("orders have an owner");
+        let at = index(&owner.id);
+        let unlucky = !self.calm && self.rng.random_bool(0.05);
+        let lost = !self.targets[at].reachable || unlucky;
+        let grant = matches!(order, Order::Grant { .. });
+        let late = grant && !self.calm && self.rng.random_bool(0.05);
+        let arrive = self.now + Duration::from_millis(self.rng.random_range(1..200));
+        let delay = Duration::from_millis(self.rng.random_range(500..9000));
+        let work = match order {
+            Order::Grant { .. } => Duration::from_millis(1),
+            Order::Release { .. } => Duration::from_millis(self.rng.random_range(1..300)),
+        };
+        let (apply, answer) = match (lost, late) {
+            (true, _) => (None, None),
+            (_, true) => (Some(arrive + delay), None),
+            _ => (Some(arrive), Some(arrive + work)),
+        };
+        self.flights.push(Flight {
+            order,
+            sent: self.now,
+            target: at,
+            born: self.targets[at].born,
+            arrive,
+            apply,
+            answer,
+            reign: self.reign,
+            result: None,
+        });
+    }
+
+    /// Carries out what is due.
+    fn land(&mut self) {
+        let now = self.now;
+        let mut flights = std::mem::take(&mut self.flights);
+        for flight in &mut flights {
+            if flight.apply.is_some_and(|at| at <= now) {
+                flight.apply = None;
+                let target = &mut self.targets[flight.target];
+                // An order to a run that has ended is lost with it.
+                if target.born == flight.born {
+                    flight.result = Some(target.apply(&flight.order, flight.arrive, now));
+                } else {
+                    flight.answer = None;
+                }
+            }
+        }
+        let mut rest = Vec::new();
+        for mut flight in flights {
+            let end = match (flight.answer, flight.result.clone()) {
+                (Some(at), Some(done)) if at <= now => Some(done),
+                (None, _) if now >= flight.sent + TIMING.flight => Some(Done::Unknown),
+                _ => None,
+            };
+            if let Some(done) = end
+                && flight.reign != 0
+            {
+                if let Some(keeper) = &mut self.keeper
+                    && flight.reign == self.reign
+                {
+                    keeper.done(&flight.order, done, flight.sent, now);
+                }
+                flight.reign = 0;
+                flight.answer = None;
+            }
+            if flight.reign != 0 || flight.apply.is_some() {
+                rest.push(flight);
+            }
+        }
+        self.flights = rest;
+    }
+
+    /// Checks that no two targets hold a key.
+    fn check(&self) {
+        for (at, one) in self.targets.iter().enumerate() {
+            for two in &self.targets[at + 1..] {
+                for a in one.live(self.now) {
+                    for b in two.live(self.now) {
+                        assert!(
+                            a.last < b.first || b.last < a.first,
+                            "seed {}: {a:?} and {b:?} at {at}",
+                            self.seed
+                        );
+                    }
+                }
+            }
+        }
+    }
+
+    /// Checks that keys that get another owner get a higher fence.
+    fn check_fences(&self, next: &Table) {
+        for piece in &next.pieces {
+            let before = self.table.piece(piece.first);
+            let moved = before.owner != piece.owner;
+            assert!(!moved || piece.fence > before.fence, "seed {}", self.seed);
+        }
+    }
+
+    /// Checks that every key is held by its recorded owner.
+    fn check_served(&self) {
+        for piece in &self.table.pieces {
+            let owner = piece.owner.as_ref().expect("every key has an owner");
+            let target = &self.targets[index(&owner.id)];
+            let held: u32 = target.live(self.now).map(|it| shared(it, piece)).sum();
+            assert!(
+                held == piece.len(),
+                "seed {}: {held} keys of {piece:?} are held",
+                self.seed
+            );
+        }
+    }
+}
+
+impl Target {
+    fn live(&self, now: Instant) -> impl Iterator<Item = &Held> {
+        self.held.iter().filter(move |it| self.up && it.until > now)
+    }
+
+    fn apply(&mut self, order: &Order, arrived: Instant, now: Instant) -> Done {
+        let (Order::Grant { piece, .. } | Order::Release { piece }) = order;
+        let (first, last) = (piece.first, piece.last);
+        match order {
+            Order::Grant { hold, .. } => {
+                let higher = |(a, b, fence): &(u16, u16, Fence)| {
+                    *a <= last && first <= *b && *fence > piece.fence
+                };
+                if self.seen.iter().any(higher) {
+                    return Done::Outdated;
+                }
+                self.seen.push((first, last, piece.fence));
+                self.drop_range(first, last);
+                self.held.push(Held {
+                    first,
+                    last,
+                    fence: piece.fence,
+                    until: arrived + hold.mul_f64(self.slow),
+                });
+                self.held.retain(|it| it.until > now);
+                Done::Held
+            }
+            Order::Release { .. } => {
+                self.drop_range(first, last);
+                Done::Released(None)
+            }
+        }
+    }
+
+    /// Ends the holds on keys; what lies beside them stays.
+    fn drop_range(&mut self, first: u16, last: u16) {
+        let mut rest = Vec::new();
+        for held in self.held.drain(..) {
+            if held.last < first || last < held.first {
+                rest.push(held);
+                continue;
+            }
+            if held.first < first {
+                rest.push(Held {
+                    last: first - 1,
+                    ..held.clone()
+                });
+            }
+            if held.last > last {
+                rest.push(Held {
+                    first: last + 1,
+                    ..held
+                });
+            }
+        }
+        self.held = rest;
+    }
+}
+
+/// Returns how many keys of a piece a hold with its fence covers.
+fn shared(held: &Held, piece: &Piece) -> u32 {
+    let first = held.first.max(piece.first);
+    let last = held.last.min(piece.last);
+    match held.fence == piece.fence && first <= last {
+        true => u32::from(last - first) + 1,
+        false => 0,
+    }
+}
+
+fn name(at: usize) -> Name {
+    format!("t{at}").into()
+}
+
+fn index(id: &str) -> usize {
+    id[1..].parse().expect("ids are t and a number")
+}
