--- a/crates/cowslipcross/src/direct/beat.rs
+++ b/crates/cowslipcross/src/direct/beat.rs
@@ -134,11 +134,14 @@
     /// Version before the change.
     #[serde(rename = "b", default, skip_serializing_if = "is_zero")]
     base: u64,
-    /// Pieces that are new: first key, last key, owner, its start, fence.
+    /// Pieces that are new.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
-    pieces: Vec<(u16, u16, Option<(Name, u64)>, u64)>,
+    pieces: Vec<WirePiece>,
 }
 
+/// First key, last key, owner with the time of its start, fence.
+type WirePiece = (u16, u16, Option<(Name, u64)>, u64);
+
 /// Instances that sent a report, with the time of the last one.
 pub type Members = BTreeMap<SocketAddr, Instant>;
 
@@ -216,7 +219,7 @@
     context.changed.notify_waiters();
 }
 
-fn piece(wire: &(u16, u16, Option<(Name, u64)>, u64)) -> Piece {
+fn piece(wire: &WirePiece) -> Piece {
     let (first, last, owner, fence) = wire.clone();
     Piece {
         first,
@@ -300,7 +303,7 @@
     recorded.collect()
 }
 
-fn wire(piece: &Piece) -> (u16, u16, Option<(Name, u64)>, u64) {
+fn wire(piece: &Piece) -> WirePiece {
     let owner = piece.owner.as_ref().map(|it| (it.id.clone(), it.born));
     (piece.first, piece.last, owner, piece.fence.0)
 }
--- a/crates/cowslipcross/src/direct/choose.rs
+++ b/crates/cowslipcross/src/direct/choose.rs
@@ -89,11 +89,21 @@
     Choice::Owner(line(context, seen, now), seen.target.id.clone())
 }
 
-/// Returns the connections to a target, if it is known.
+/// Returns the connections to a target of an undivided service, if this instance may send to it.
+///
+/// The holder that chose it may know less than this instance of who leaves.
 pub fn line_to(context: &Context, target: &Name) -> Option<Rc<Line>> {
+    let now = Instant::now();
     let targets = context.targets.borrow();
-    let seen = targets.get(target)?;
-    Some(line(context, seen, Instant::now()))
+    let seen = targets
+        .get(target)
+        .filter(|seen| is_open(context, seen, now))?;
+    Some(line(context, seen, now))
+}
+
+/// Returns whether a target of an undivided service may get new work.
+fn is_open(context: &Context, seen: &Seen, now: Instant) -> bool {
+    seen.leaving.is_none() && !is_withdrawn(context, seen, now, 0.0)
 }
 
 /// Takes the part of a cold target's rate that is this instance's without a permit.
@@ -127,7 +137,7 @@
     let targets = context.targets.borrow().clone();
     let open: Vec<&Seen> = targets
         .of(&request.service)
-        .filter(|seen| seen.leaving.is_none() && !is_withdrawn(context, seen, now, 0.0))
+        .filter(|seen| is_open(context, seen, now))
         .filter(|seen| !tried.contains(&seen.target.id))
         .collect();
     let warm = open.iter().filter(|seen| !seen.is_cold(now));
--- a/crates/cowslipcross/src/direct/permit.rs
+++ b/crates/cowslipcross/src/direct/permit.rs
@@ -245,6 +245,7 @@
 fn asked(context: &Context, asker: Asker<SocketAddr>, key: PoolKey, ask: Ask) {
     let now = Instant::now();
     let members = members(context, &key, now);
+    // Without a reply the asker turns to another member.
     if members.is_empty() {
         return;
     }
--- a/crates/decide/tests/lead.rs
+++ b/crates/decide/tests/lead.rs
@@ -84,8 +84,7 @@
         for (_, version, writer) in due {
             row.write(version, writer);
         }
-        for at in 0..machines.len() {
-            let machine = &mut machines[at];
+        for (at, machine) in machines.iter_mut().enumerate() {
             machine.boot += TICK;
             if machine.frozen > 0 {
                 machine.frozen -= 1;
