--- /dev/null
+++ b/crates/cowslipcross/tests/direct_world/mod.rs
@@ -0,0 +1,317 @@
+//! A deployment on loopback: the store and targets as stand-ins, instances as real processes.
+
+use {
+    bytes::Bytes,
+    cowslip_adapter_standins::{
+        store::Store,
+        target::{Options, Target},
+    },
+    http::{HeaderMap, Request, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
+    serde_json::{Value, json},
+    std::{
+        net::{SocketAddr, TcpListener, UdpSocket},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        time::{sleep, timeout},
+    },
+};
+
+/// Longest wait for something that must happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An instance; its process is killed when this is dropped.
+pub struct Instance {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    operators: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+}
+
+/// An answer of an instance.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A deployment.
+pub struct World {
+    /// The platform's store.
+    pub store: Store,
+    /// Targets of the divided service.
+    pub boards: Vec<Target>,
+    /// Targets of the undivided service.
+    pub crews: Vec<Target>,
+    /// Instances.
+    pub instances: Vec<Instance>,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // An instance that has ended by itself can't be killed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+impl Instance {
+    /// Starts the program.
+    pub fn start(name: &str, store: SocketAddr) -> Self {
+        let [callers, readiness, operators] = [(); 3].map(|()| free_tcp());
+        let beats = UdpSocket::bind("127.0.0.1:0").and_then(|it| it.local_addr());
+        let beats = beats.expect("a free port");
+        let text = format!(
+            "name = \"{name}\"\ndata_centre = \"west\"\nstore = \"{store}\"\nfuture = 1\n\
+             [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\n\
+             operators = \"{operators}\"\nheartbeats = \"{beats}\"\n\
+             [bounds]\ngrace = \"6s\"\nmax_hold = \"10000ms\"\nretry_slack = \"62\"\n"
+        );
+        let file = format!("cowslip-{name}-{}.toml", beats.port());
+        let settings = std::env::temp_dir().join(file);
+        std::fs::write(&settings, text).expect("settings are written");
+        let child = Command::new(env!("CARGO_BIN_EXE_cowslipcross"))
+            .arg("direct")
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        Self {
+            callers,
+            readiness,
+            operators,
+            settings,
+            child,
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.is_ok_and(|it| it.success()), "signal {name}");
+    }
+
+    /// Waits for the end of the process and returns its exit code.
+    pub async fn ended(&mut self) -> Option<i32> {
+        for _ in 0..1000 {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        None
+    }
+
+    /// Returns whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let answer = get(self.readiness, "/-/ready").await;
+        answer.is_some_and(|it| it.status == StatusCode::OK)
+    }
+
+    /// Returns the metrics.
+    pub async fn metrics(&self) -> String {
+        let answer = get(self.operators, "/metrics").await.expect("metrics");
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
+
+    /// Sends a request; `None` if the connection ended without an answer.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Option<Answer> {
+        exchange(self.callers, request).await
+    }
+}
+
+impl World {
+    /// Starts a deployment and waits until every instance is ready and every key is served.
+    pub async fn start(instances: usize, boards: usize, slots: u32, work: Duration) -> Self {
+        let store = Store::start().await;
+        store.put("op", "config", config("r5", "boards").as_bytes());
+        let mut world = Self {
+            store,
+            boards: Vec::new(),
+            crews: Vec::new(),
+            instances: Vec::new(),
+        };
+        for at in 0..boards {
+            let options = options(&format!("b{at}"), "boards", true, slots, work);
+            world.boards.push(Target::start(options).await);
+        }
+        for at in 0..2 {
+            let options = options(&format!("c{at}"), "crews", false, slots, work);
+            world.crews.push(Target::start(options).await);
+        }
+        let all = world.boards.iter().chain(&world.crews);
+        all.for_each(|target| target.report(&world.store, "ready"));
+        for at in 0..instances {
+            let instance = Instance::start(&format!("i{at}"), world.store.address());
+            world.instances.push(instance);
+        }
+        world.settle().await;
+        world
+    }
+
+    /// Waits until every instance is ready and keys all over are owned.
+    pub async fn settle(&self) {
+        for instance in &self.instances {
+            until(|| instance.is_ready()).await;
+        }
+        until(|| async { (0..=65535u64).step_by(997).all(|key| self.owners(key) == 1) }).await;
+        // Heartbeats with the members follow within a second.
+        sleep(Duration::from_millis(1200)).await;
+    }
+
+    /// Returns how many targets hold a key.
+    pub fn owners(&self, key: u64) -> usize {
+        self.boards
+            .iter()
+            .filter(|target| target.holds(key))
+            .count()
+    }
+
+    /// Returns how often the request with this id ran anywhere.
+    pub fn runs(&self, id: &str) -> u32 {
+        let all = self.boards.iter().chain(&self.crews);
+        all.map(|target| target.runs(id)).sum()
+    }
+}
+
+/// Waits until something is so.
+pub async fn until<A: Future<Output = bool>>(check: impl Fn() -> A) {
+    let waiting = async {
+        while !check().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, waiting)
+        .await
+        .expect("it happens in time");
+}
+
+/// Returns a lookup of a board.
+pub fn lookup(id: &str, key: u64) -> Request<Full<Bytes>> {
+    request("GET", "/lookup/x?a=1", id, &key.to_string(), Bytes::new())
+}
+
+/// Returns an order that may not be repeated.
+pub fn order(id: &str, key: u64) -> Request<Full<Bytes>> {
+    request(
+        "POST",
+        "/remove/x",
+        id,
+        &key.to_string(),
+        Bytes::from_static(b"strip it"),
+    )
+}
+
+/// Returns a request to the undivided service.
+pub fn booking(id: &str) -> Request<Full<Bytes>> {
+    request("PUT", "/book/x", id, "7", Bytes::from_static(b"book it"))
+}
+
+/// Returns a request.
+pub fn request(method: &str, path: &str, id: &str, key: &str, body: Bytes) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "front.example")
+        .header("x-request-id", id)
+        .header("x-shard-key", key)
+        .header("x-deadline-ms", "4000")
+        .body(Full::new(body))
+        .expect("a valid request")
+}
+
+/// Returns a configuration whose lookups go to `service`.
+pub fn config(version: &str, service: &str) -> String {
+    let columns = json!([
+        "Name",
+        "Host",
+        "Prefix",
+        "RouteKind",
+        "Timeout",
+        "TargetLatency",
+        "Priority",
+        "MaxAttempts",
+        "Service",
+        "TrafficSplit"
+    ]);
+    let route = |name: &str, prefix: &str, kind: &str, rank: u8, service: &str| -> Value {
+        json!([
+            name,
+            "front.example",
+            prefix,
+            kind,
+            "3000ms",
+            "600ms",
+            rank,
+            2,
+            service,
+            null
+        ])
+    };
+    json!({
+        "Version": version,
+        "Routes": {"Columns": columns, "Rows": [
+            route("lookup", "/lookup/", "safe", 2, service),
+            route("remove", "/remove/", "unsafe", 1, "boards"),
+            route("book", "/book/", "unsafe", 0, "crews"),
+            route("lost", "/lost/", "safe", 0, "nowhere"),
+        ]},
+        "Services": {"Columns": ["Name", "HealthPath", "MaxConnections", "ColdStart", "ColdPerS", "Sharded"],
+            "Rows": [["boards", "/health", 130, "3s", 3.1, true], ["crews", "/health", 130, "3s", 3.1, null]]},
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 2000,
+            "HeaderTimeout": "3000ms", "IdleTimeout": "15000ms"},
+    })
+    .to_string()
+}
+
+fn options(id: &str, service: &str, divided: bool, slots: u32, work: Duration) -> Options {
+    Options {
+        id: id.into(),
+        service: service.into(),
+        data_centre: if id.ends_with('0') { "east" } else { "west" }.into(),
+        divided,
+        slots,
+        queue: 8,
+        work,
+    }
+}
+
+fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound address")
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    let request = Request::builder().uri(path).header("host", "x");
+    exchange(address, request.body(Full::default()).ok()?).await
+}
+
+async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Answer> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let driver = tokio::spawn(driver);
+    let answer = timeout(PATIENCE, sender.send_request(request)).await;
+    let (head, body) = answer.expect("an answer in time").ok()?.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    driver.abort();
+    Some(Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
