--- a/crates/cowslipcross/src/direct/choose.rs
+++ b/crates/cowslipcross/src/direct/choose.rs
@@ -22,7 +22,7 @@
 /// Time of an answer where none was seen, in seconds.
 const UNKNOWN_PACE: f64 = 0.1;
 /// Cost of a target in another data centre in relation to one nearby.
-const FAR: f64 = 1.25;
+const FAR: f64 = 1.5;
 /// Time between two looks at something that should change soon.
 const LOOK: Duration = Duration::from_millis(150);
 /// Part of a cold target's rate that all instances use together.
--- a/crates/cowslipcross/src/direct/follow.rs
+++ b/crates/cowslipcross/src/direct/follow.rs
@@ -24,11 +24,11 @@
 
 /// Longest wait of one call for a change of the configuration; a connection that has gone silent
 /// is noticed after this and [`LIMIT`].
-const WAIT: Duration = Duration::from_millis(1500);
+const WAIT: Duration = Duration::from_millis(2400);
 /// Longest time for an answer of the store.
 const LIMIT: Duration = Duration::from_millis(500);
 /// Period in which the targets are read.
-const PERIOD: Duration = Duration::from_millis(1300);
+const PERIOD: Duration = Duration::from_millis(1500);
 /// Pause after a call failed.
 const PAUSE: Duration = Duration::from_millis(250);
 
--- a/crates/cowslipcross/src/direct/line.rs
+++ b/crates/cowslipcross/src/direct/line.rs
@@ -6,6 +6,7 @@
     cowslip_decide::share::Tokens,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
+    socket2::SockRef,
     std::{
         cell::{Cell, RefCell},
         io,
@@ -21,6 +22,8 @@
 
 /// Longest time for a connection to open.
 const OPENING: Duration = Duration::from_millis(350);
+/// Time after which bytes that nobody acknowledged end the connection: it has gone silent.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
 /// Idle time after which a connection is not used again, where the target names none.
 const IDLE: Duration = Duration::from_secs(7);
 /// Part of the target's own idle time for which a connection is used again.
@@ -170,6 +173,7 @@
 async fn connect(address: SocketAddr) -> io::Result<Link> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
     let (sender, driver) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/crates/decide/src/permits.rs
+++ b/crates/decide/src/permits.rs
@@ -24,7 +24,7 @@
 /// Time for which a target that shed a request gets no more than it has.
 const FULL: Duration = Duration::from_millis(100);
 /// Cost of a target in another data centre in relation to one nearby.
-const FAR: f64 = 1.15;
+const FAR: f64 = 1.5;
 /// Age at which a target's momentary slowness says nothing any more.
 const SLOWNESS_AGE: Duration = Duration::from_millis(300);
 /// Part of the expected wait after which a refused caller should come back.
