--- a/crates/cowslipcross/src/direct/follow.rs
+++ b/crates/cowslipcross/src/direct/follow.rs
@@ -29,8 +29,10 @@
 const LIMIT: Duration = Duration::from_millis(500);
 /// Period in which the targets are read.
 const PERIOD: Duration = Duration::from_millis(1500);
+/// Period in which the leader reads them: it has to move the keys of those that leave.
+const LEADER_PERIOD: Duration = Duration::from_millis(600);
 /// Pause after a call failed.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(600);
 
 /// Whether the store answered last, for one duty.
 #[derive(Default)]
@@ -147,7 +149,12 @@
                 }
                 context.metrics.reports(reports.len(), bad);
                 adopt(&context, reports);
-                sleep(PERIOD).await;
+                sleep(if context.leads() {
+                    LEADER_PERIOD
+                } else {
+                    PERIOD
+                })
+                .await;
             }
             Err(_) => sleep(PAUSE).await,
         }
--- a/crates/cowslipcross/src/direct/keep.rs
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -31,9 +31,9 @@
 /// Period in which the leader looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// Hold of a grant.
-const HOLD: Duration = Duration::from_millis(3200);
+const HOLD: Duration = Duration::from_millis(2700);
 /// Time after which a grant is renewed.
-const RENEWAL: Duration = Duration::from_millis(800);
+const RENEWAL: Duration = Duration::from_millis(650);
 /// Time after which an order that failed is sent again.
 const RETRY: Duration = Duration::from_millis(150);
 /// Longest time for the answer to a grant.
@@ -59,6 +59,8 @@
 #[derive(Default)]
 pub struct Desk {
     services: BTreeMap<Name, Service>,
+    /// Time as leader to which the services belong.
+    reign: u64,
     clients: BTreeMap<SocketAddr, Clients>,
 }
 
@@ -118,8 +120,13 @@
     loop {
         // Either the tick is over or there is something to do.
         let _ = timeout(TICK, context.work.notified()).await;
+        let reign = context.lead.borrow().reign();
+        if desk.borrow().reign != reign {
+            let mut desk = desk.borrow_mut();
+            desk.services.clear();
+            desk.reign = reign;
+        }
         if !context.leads() || context.leading.get().is_none() {
-            desk.borrow_mut().services.clear();
             // Without duties there is nothing to look at so often.
             let _ = timeout(4 * TICK, context.work.notified()).await;
             continue;
@@ -352,7 +359,8 @@
             id: id.clone(),
             born,
         };
-        (!ended.contains(&life)).then_some(life)
+        let silent = service.keeper.is_silent(id);
+        (!ended.contains(&life) && !silent).then_some(life)
     };
     let mut reports = context.reports.borrow_mut();
     let loads = reports.loads.entry(name.clone()).or_default();
--- a/crates/decide/src/lead.rs
+++ b/crates/decide/src/lead.rs
@@ -54,6 +54,7 @@
     seat: Option<(Seat, Instant)>,
     held: Option<Held>,
     unsettled: bool,
+    reign: u64,
 }
 
 #[derive(Debug)]
@@ -70,9 +71,15 @@
             seat: None,
             held: None,
             unsettled: false,
+            reign: 0,
         }
     }
 
+    /// Returns a number that changes whenever another instance may have been leader.
+    pub fn reign(&self) -> u64 {
+        self.reign
+    }
+
     /// Returns the time at which the lease ends, by the clock that counts suspensions.
     pub fn until(&self) -> Option<Duration> {
         let held = self.held.as_ref()?;
@@ -165,6 +172,9 @@
     }
 
     fn see(&mut self, seat: Seat, steady: Instant) {
+        if !seat.own {
+            self.reign += 1;
+        }
         let known = self.seat.as_ref();
         let since = known
             .filter(|(known, _)| known.version == seat.version)
--- a/crates/decide/src/owners/keeper.rs
+++ b/crates/decide/src/owners/keeper.rs
@@ -81,6 +81,9 @@
 /// Slowest rate of a target's clock is 2% below the true one; holds are counted 3% longer.
 const CLOCK_MARGIN: f64 = 1.03;
 
+/// Orders in a row without an answer after which keys leave their owner.
+const GIVEN_UP: u32 = 3;
+
 /// A recorded piece with what may be true of it at its owner.
 #[derive(Clone, Debug)]
 struct Kept {
@@ -103,6 +106,8 @@
     handover: Option<Name>,
     /// Whether its owner gets a higher fence with the next record.
     refence: bool,
+    /// Orders in a row that got no answer.
+    silent: u32,
 }
 
 /// Ownership of one service's keys as its leader keeps it.
@@ -149,6 +154,14 @@
         self.kept.iter().any(waits)
     }
 
+    /// Returns whether a target answers no orders about keys of its own.
+    pub fn is_silent(&self, id: &Name) -> bool {
+        self.kept.iter().any(|kept| {
+            let own = kept.piece.owner.as_ref().is_some_and(|it| it.id == *id);
+            own && kept.silent >= GIVEN_UP
+        })
+    }
+
     /// Returns the runs of targets whose processes have ended.
     pub fn ended(&self) -> &BTreeSet<Life> {
         &self.ended
@@ -337,6 +350,7 @@
             free: false,
             handover: None,
             refence: false,
+            silent: 0,
         }
     }
 
@@ -384,6 +398,13 @@
     fn done(&mut self, order: &Order, done: &Done, timing: &Timing, span: (Instant, Instant)) {
         let (sent, now) = span;
         self.busy = false;
+        self.silent = match done {
+            Done::Unsent | Done::Unknown => self.silent + 1,
+            _ => 0,
+        };
+        if self.silent >= GIVEN_UP {
+            self.leave(None, now);
+        }
         match (order, done) {
             (Order::Grant { hold, .. }, Done::Held) => {
                 let end = now + hold.mul_f64(CLOCK_MARGIN);
--- a/crates/decide/src/permits.rs
+++ b/crates/decide/src/permits.rs
@@ -29,6 +29,8 @@
 const SLOWNESS_AGE: Duration = Duration::from_millis(300);
 /// Part of the expected wait after which a refused caller should come back.
 const COME_BACK: f64 = 0.5;
+/// Part of the average time of an answer for which there must be time left.
+const LEAST_LEFT: f64 = 0.8;
 /// Shortest advice when to come back.
 const LEAST_WAIT: Duration = Duration::from_millis(100);
 
@@ -204,16 +206,8 @@
             target.running.retain(|_, permit| permit.void > now);
         }
         let mut replies = Vec::new();
-        let pace = self.quickest();
-        self.queue.retain(|(asker, ask)| {
-            let lost = ask.deadline.saturating_duration_since(now).as_secs_f64() < 0.5 * pace;
-            if lost {
-                replies.push((asker.clone(), Reply::Refused(LEAST_WAIT)));
-            }
-            !lost
-        });
         // Those that can still earn their full worth go first within their rank.
-        let soon = Duration::from_secs_f64(pace);
+        let soon = Duration::from_secs_f64(self.usual());
         self.queue
             .sort_by_key(|(_, ask)| (ask.rank, ask.goal < now + soon, ask.goal));
         let mut at = 0;
@@ -227,6 +221,23 @@
             self.permit(asker.clone(), &ask, &target, now);
             replies.push((asker, Reply::Granted(target)));
         }
+        replies.extend(self.give_up(now));
+        replies
+    }
+
+    /// Refuses those that will not get a slot in time, in the order in which they would be served.
+    fn give_up(&mut self, now: Instant) -> Vec<(Asker<A>, Reply)> {
+        let mut replies = Vec::new();
+        let mut at = 0;
+        while at < self.queue.len() {
+            match self.too_late(at, &self.queue[at].1, now) {
+                Some(wait) => {
+                    let (asker, _) = self.queue.remove(at);
+                    replies.push((asker, Reply::Refused(wait)));
+                }
+                None => at += 1,
+            }
+        }
         replies
     }
 
@@ -283,16 +294,17 @@
     /// Returns when to come back if a request behind `ahead` others would be served too late.
     fn too_late(&self, ahead: usize, ask: &Ask, now: Instant) -> Option<Duration> {
         let slots: u32 = self.targets.values().map(|it| it.member.slots).sum();
+        let pace = self.usual();
+        let left = ask.deadline.saturating_duration_since(now).as_secs_f64();
         if slots == 0 {
-            return None;
+            return (left < LEAST_LEFT * pace).then_some(LEAST_WAIT);
         }
-        let pace = self.usual();
         let running: usize = self.targets.values().map(|it| it.running.len()).sum();
         // Of the requests that run, the average one has half of its time left.
         let queue = ahead as f64 + 0.5 * running.min(slots as usize) as f64;
         let wait = queue * pace / f64::from(slots);
-        let left = ask.deadline.saturating_duration_since(now).as_secs_f64();
-        (wait + pace > left).then(|| LEAST_WAIT.max(Duration::from_secs_f64(wait * COME_BACK)))
+        (wait + LEAST_LEFT * pace > left)
+            .then(|| LEAST_WAIT.max(Duration::from_secs_f64(wait * COME_BACK)))
     }
 
     /// Returns the average time of the pool's answers in seconds.
@@ -303,16 +315,6 @@
             count => paces.iter().sum::<f64>() / count as f64,
         }
     }
-
-    fn quickest(&self) -> f64 {
-        let paces = self.targets.values().filter_map(|it| it.pace);
-        let least = paces.fold(f64::INFINITY, f64::min);
-        if least.is_finite() {
-            least
-        } else {
-            UNKNOWN_PACE
-        }
-    }
 }
 
 impl<A: Ord> Target<A> {
