--- a/crates/cowslipcross/src/direct/context.rs
+++ b/crates/cowslipcross/src/direct/context.rs
@@ -150,7 +150,7 @@
             data_centre: settings.data_centre.clone(),
             incarnation,
         };
-        let logger = logger::stdout(spdlog::Level::Info)?;
+        let logger = logger::stdout(spdlog::Level::Debug)?;
         Ok(Self {
             bounds: RefCell::new(settings.bounds.clone()),
             run: format!("{}-{:x}", settings.name, rand::random::<u64>()),
@@ -197,6 +197,18 @@
         self.events.note(code, about);
     }
 
+    /// Returns the versions and ages of what a decision about a service rested on, for the log.
+    pub fn basis(&self, service: &str) -> String {
+        let config = self.config.borrow().as_ref().map_or(0, |it| it.version);
+        let owners = self.owners.borrow().get(service).map_or(0, |it| it.version);
+        let age = self.targets.borrow().age(Instant::now());
+        let age = age.map_or_else(
+            || "never".into(),
+            |age| format!("{} ms ago", age.as_millis()),
+        );
+        format!("config {config}, owners {owners}, targets read {age}")
+    }
+
     /// Returns whether this instance may act as leader now.
     pub fn leads(&self) -> bool {
         self.lead.borrow().leads(clock::moment())
--- a/crates/cowslipcross/src/direct/deliver.rs
+++ b/crates/cowslipcross/src/direct/deliver.rs
@@ -353,8 +353,9 @@
 
 fn note(context: &Context, code: Code, request: &Request, target: &Name, cause: &str) {
     let detail = format!(
-        "{cause}, service {}, {} ms left",
+        "{cause}, service {}, {}, {} ms left",
         request.service,
+        context.basis(&request.service),
         request
             .deadline
             .saturating_duration_since(Instant::now())
--- a/crates/cowslipcross/src/direct/entry.rs
+++ b/crates/cowslipcross/src/direct/entry.rs
@@ -190,12 +190,13 @@
         request: request.id.to_str().ok().map(Name::from),
         key: request.key.map(|key| key.to_string().into()),
         detail: Some(format!(
-            "{}, {}, route {}, service {}, after {} ms",
+            "{}, {}, route {}, service {}, after {} ms, {}",
             answer.verdict(),
             reason.as_str(),
             request.route.name,
             request.service,
-            time.as_millis()
+            time.as_millis(),
+            context.basis(&request.service)
         )),
         ..About::default()
     };
--- a/crates/cowslipcross/src/direct/mod.rs
+++ b/crates/cowslipcross/src/direct/mod.rs
@@ -32,11 +32,12 @@
     crate::events::{self, About},
     context::Context,
     eyre::WrapErr,
-    std::{path::PathBuf, rc::Rc},
+    std::{collections::BTreeMap, path::PathBuf, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpSocket, UdpSocket},
         signal::unix::{Signal, SignalKind, signal},
         task::{LocalSet, spawn_local},
+        time::sleep,
     },
 };
 
@@ -46,6 +47,9 @@
 /// Connections that the system keeps until they are accepted.
 const BACKLOG: u32 = 1024;
 
+/// Period in which the log tells what was left out of it.
+const THINNED: Duration = Duration::from_secs(5);
+
 /// Runs an instance with the settings of a file until a signal stops it.
 ///
 /// # Errors
@@ -81,6 +85,7 @@
     spawn_local(permit::serve(context.clone()));
     spawn_local(seat::hold(context.clone()));
     spawn_local(keep::keep(context.clone()));
+    spawn_local(tell_thinned(context.clone()));
     spawn_local(reloads(context.clone(), path, reload));
     let conns = entry::Conns::default();
     let accepting = spawn_local(entry::accept(context.clone(), callers, conns.clone()));
@@ -115,6 +120,23 @@
     }
 }
 
+/// Tells now and then how many events were left out of the log.
+async fn tell_thinned(context: Rc<Context>) {
+    let mut told = BTreeMap::new();
+    loop {
+        sleep(THINNED).await;
+        let skipped = context.events.page(u64::MAX).skipped;
+        if skipped != told {
+            let kinds = skipped
+                .iter()
+                .map(|(code, count)| format!("{code}: {count}"));
+            let kinds: Vec<String> = kinds.collect();
+            context.note(events::LOG_THINNED, kinds.join(", "));
+            told = skipped;
+        }
+    }
+}
+
 /// Listens on an address.
 fn bind(address: std::net::SocketAddr) -> Result<TcpListener> {
     let listen = || {
--- a/crates/cowslipcross/src/direct/view.rs
+++ b/crates/cowslipcross/src/direct/view.rs
@@ -48,6 +48,11 @@
         self.read.is_some()
     }
 
+    /// Returns the time since they were read, if they ever were.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.read.map(|read| now - read)
+    }
+
     /// Returns a target by its id.
     pub fn get(&self, id: &str) -> Option<&Seen> {
         self.seen.get(id)
--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -220,6 +220,9 @@
     614 ORDER_FAILED Warn FREQUENT; "order about keys {key} to target {target} failed: {detail}";
         "A grant or a release got no answer; it is sent again.";
         "If it lasts, look at the path between the leader and the target.";
+    615 LOG_THINNED Info None; "events not recorded so far: {detail}";
+        "Kinds came more often than their rate; the numbers count from the start of the process.";
+        "Nothing; the metrics count every one.";
     701 UNSERVED Info FREQUENT; "request {request} unserved: {detail}";
         "A caller got an answer that is not a target's, with its verdict and reason.";
         "See the page on unserved requests.";
