--- a/crates/cowslipcross/src/direct/keep.rs
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -16,7 +16,7 @@
     cowslip_decide::{
         names::Name,
         owners::{
-            Candidate, Capacity, Done, Keeper, Life, Loads, Order, Table, Timing, balance,
+            Candidate, Capacity, Done, Keeper, Life, Loads, Order, Piece, Table, Timing, balance,
             least_loaded,
         },
     },
@@ -402,6 +402,10 @@
         let (context, desk, name) = (context.clone(), desk.clone(), name.clone());
         spawn_local(async move {
             let sent = Instant::now();
+            if let Order::Release { piece } = &order {
+                let about = about(piece, format!("fence {}", piece.fence));
+                context.events.note(events::RANGE_LEAVING, about);
+            }
             let done = carry(&context, &desk, &order).await;
             note(&context, &order, &done);
             let mut desk = desk.borrow_mut();
@@ -507,11 +511,15 @@
         (_, Done::Unsent) => (events::ORDER_FAILED, "not sent"),
         _ => (events::ORDER_FAILED, "no answer"),
     };
-    let about = About {
+    let about = about(piece, format!("{what}, fence {}", piece.fence));
+    context.events.note(code, about);
+}
+
+fn about(piece: &Piece, detail: String) -> About {
+    About {
         key: Some(format!("{}-{}", piece.first, piece.last).into()),
         target: piece.owner.as_ref().map(|it| it.id.clone()),
-        detail: Some(format!("{what}, fence {}", piece.fence)),
+        detail: Some(detail),
         ..About::default()
-    };
-    context.events.note(code, about);
+    }
 }
--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -223,6 +223,9 @@
     615 LOG_THINNED Info None; "events not recorded so far: {detail}";
         "Kinds came more often than their rate; the numbers count from the start of the process.";
         "Nothing; the metrics count every one.";
+    616 RANGE_LEAVING Info FREQUENT; "keys {key} are to leave target {target}: {detail}";
+        "The leader takes keys back; the answer waits for the work on them, and requests wait too.";
+        "Nothing, if `CC0613` follows.";
     701 UNSERVED Info FREQUENT; "request {request} unserved: {detail}";
         "A caller got an answer that is not a target's, with its verdict and reason.";
         "See the page on unserved requests.";
--- a/crates/cowslipctl/src/cli.rs
+++ b/crates/cowslipctl/src/cli.rs
@@ -52,6 +52,11 @@
   cowslipctl timeline --request order-4711 --json
   cowslipctl timeline --data-centre hk-2 --format svg --out withdrawal.svg";
 
+const EXPLAIN: &str = "\
+Examples:
+  cowslipctl explain 7c5ee32bd7d4ed08 front-1.log front-2.log
+  cowslipctl explain 7c5ee32bd7d4ed08 all.log --json";
+
 /// Returns the whole command line.
 pub fn command() -> Command {
     Command::new("cowslipctl")
@@ -110,6 +115,18 @@
             STATUS,
         ))
         .subcommand(timeline())
+        .subcommand(explain())
+}
+
+fn explain() -> Command {
+    let request = Arg::new("request").value_name("REQUEST-ID").required(true);
+    let logs = file("log", "Logs of instances")
+        .num_args(1..)
+        .required(true);
+    let about = "Print what logs say of a request, and of what its keys went through";
+    subcommand("explain", about, EXPLAIN)
+        .arg(request.help("Id of the request"))
+        .arg(logs)
 }
 
 fn timeline() -> Command {
--- a/crates/cowslipctl/src/commands.rs
+++ b/crates/cowslipctl/src/commands.rs
@@ -6,6 +6,7 @@
     crate::{
         access, cli,
         error::{Error, Exit, Result},
+        explain,
         reply::Reply,
         status,
         store::Store,
@@ -63,6 +64,9 @@
     if name == "check" {
         return check(required(matches, "file"));
     }
+    if name == "explain" {
+        return explain::show(matches);
+    }
     let settings = access::settings(matches)?;
     match name {
         "publish" => change::publish(&settings, matches, required(matches, "file")).await,
--- a/crates/cowslipctl/src/lib.rs
+++ b/crates/cowslipctl/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod commands;
 pub mod error;
+pub mod explain;
 pub mod instances;
 pub mod reply;
 pub mod store;
