--- a/crates/cowslipcross/src/direct/context.rs
+++ b/crates/cowslipcross/src/direct/context.rs
@@ -36,7 +36,7 @@
 };
 
 /// Lease of the leader.
-const TERM: Duration = Duration::from_millis(2000);
+const TERM: Duration = Duration::from_millis(2500);
 /// Instances that are assumed until the leader tells their number; a high one makes shares small.
 const UNKNOWN_INSTANCES: u32 = 24;
 /// Events that are kept for operators.
--- a/crates/cowslipcross/src/direct/seat.rs
+++ b/crates/cowslipcross/src/direct/seat.rs
@@ -6,9 +6,9 @@
         context::{Change, Context, Owners},
     },
     crate::events,
-    cowslip_adapter::store::{Check, Commit, OWN_TABLE, Put, Row},
+    cowslip_adapter::store::{Check, Commit, OWN_TABLE, Put, Row, Rows},
     cowslip_decide::{
-        lead::{Moment, Seat, Step},
+        lead::{Mark, Moment, Seat, Step},
         names::Name,
         owners::Table,
     },
@@ -39,6 +39,9 @@
     run: String,
     /// Address for datagrams.
     heartbeats: SocketAddr,
+    /// Milliseconds of the store's clock that the leader was told before it wrote.
+    #[serde(default)]
+    told: Option<u64>,
 }
 
 /// How a record of owners ended.
@@ -98,14 +101,13 @@
 /// Reads the project's own rows; returns whether the store answered.
 pub async fn refresh(context: &Context) -> bool {
     let _one = context.writing.lock().await;
+    let sent = clock::moment();
     let read = context.rows.rows(OWN_TABLE, LIMIT).await;
     context.metrics.store_call("owners", read.is_ok());
     let Ok(rows) = read else {
         return false;
     };
-    let now = clock::moment();
-    let seat = rows.rows.iter().find(|row| row.key == SEAT_KEY);
-    see(context, seat, now);
+    see(context, &rows, sent);
     for row in &rows.rows {
         if let Some(service) = row.key.strip_prefix(OWNERS_PREFIX) {
             adopt(context, service, row);
@@ -115,7 +117,9 @@
 }
 
 /// Takes the leader's row as the store has it.
-fn see(context: &Context, row: Option<&Row>, now: Moment) {
+fn see(context: &Context, rows: &Rows, sent: Moment) {
+    let row = rows.rows.iter().find(|row| row.key == SEAT_KEY);
+    let mark = rows.now.map(|store| Mark { store, sent });
     let value = row.and_then(|row| row.value.as_deref());
     let wire: Option<WireSeat> = value.and_then(|value| serde_json::from_slice(value).ok());
     let own = wire.as_ref().is_some_and(|it| it.run == context.run);
@@ -123,8 +127,12 @@
         version: row.map_or(0, |row| row.version),
         own,
         vacant: wire.as_ref().is_none_or(|it| it.run.is_empty()),
+        marked: wire
+            .as_ref()
+            .and_then(|it| it.told)
+            .map(Duration::from_millis),
     };
-    context.lead.borrow_mut().read(seat, now);
+    context.lead.borrow_mut().read(seat, clock::moment(), mark);
     if let Some(wire) = wire.filter(|_| !own) {
         context.leader.set(Some(wire.heartbeats));
     }
@@ -167,12 +175,13 @@
 async fn claim(context: &Context, version: u64) {
     let one = context.writing.lock().await;
     let (led, sent) = (context.leads(), clock::moment());
+    let said = said(context, sent);
     let checks = [check(SEAT_KEY, version)];
-    let puts = [seat(context, true)];
+    let puts = [seat(context, true, said)];
     let end = context.rows.commit(&checks, &puts, LIMIT).await;
     drop(one);
     context.metrics.store_call("lease", end.is_ok());
-    settle(context, sent, &end);
+    settle(context, (said, sent), &end);
     if !led && context.leads() {
         context.leading.set(None);
     }
@@ -190,17 +199,30 @@
     context.work.notify_one();
 }
 
+/// Returns the time of the store's clock that a write says. Without one it says the beginning of
+/// the clock, so that its lease has run out and the next write says what this one's answer told.
+fn said(context: &Context, now: Moment) -> Mark {
+    let mark = context.lead.borrow().mark();
+    mark.unwrap_or(Mark {
+        store: Duration::ZERO,
+        sent: Moment {
+            steady: now.steady,
+            boot: Duration::ZERO,
+        },
+    })
+}
+
 /// Takes the end of a write of the leader's row.
-fn settle(context: &Context, sent: Moment, end: &cowslip_adapter::Result<Commit>) {
+fn settle(context: &Context, (said, sent): (Mark, Moment), end: &cowslip_adapter::Result<Commit>) {
     match end {
-        Ok(Commit::Done(version)) => context.lead.borrow_mut().written(sent, *version),
-        Ok(Commit::Conflict(rows)) => {
-            let row = rows.iter().find(|row| row.key == SEAT_KEY);
-            match row {
-                Some(_) => see(context, row, clock::moment()),
-                None => context.lead.borrow_mut().unanswered(),
-            }
+        Ok(Commit::Done { version, now }) => {
+            let told = now.map_or(said, |store| Mark { store, sent });
+            context.lead.borrow_mut().written(said, *version, told);
         }
+        Ok(Commit::Conflict(rows)) => match rows.rows.iter().any(|row| row.key == SEAT_KEY) {
+            true => see(context, rows, sent),
+            false => context.lead.borrow_mut().unanswered(),
+        },
         Err(error) if error.may_have_happened() => {
             context.note(events::WRITE_UNKNOWN, error.to_string());
             context.lead.borrow_mut().unanswered();
@@ -222,14 +244,15 @@
         return Recorded::Refused;
     };
     let sent = clock::moment();
+    let said = said(context, sent);
     let checks = [check(SEAT_KEY, held), check(&key, before)];
-    let puts = [seat(context, true), Put { key, value }];
+    let puts = [seat(context, true, said), Put { key, value }];
     let end = context.rows.commit(&checks, &puts, LIMIT).await;
     drop(one);
     context.metrics.store_call("record", end.is_ok());
-    settle(context, sent, &end);
+    settle(context, (said, sent), &end);
     match end {
-        Ok(Commit::Done(version)) => {
+        Ok(Commit::Done { version, .. }) => {
             took_effect(context, service, (before, version), table);
             Recorded::Done
         }
@@ -267,7 +290,11 @@
     let checks = [check(SEAT_KEY, version)];
     let end = context
         .rows
-        .commit(&checks, &[seat(context, false)], LIMIT)
+        .commit(
+            &checks,
+            &[seat(context, false, said(context, clock::moment()))],
+            LIMIT,
+        )
         .await;
     let detail = match end {
         Ok(_) => "given up for a stop".to_owned(),
@@ -283,7 +310,7 @@
     }
 }
 
-fn seat(context: &Context, held: bool) -> Put {
+fn seat(context: &Context, held: bool, said: Mark) -> Put {
     let wire = WireSeat {
         name: context.settings.name.clone(),
         run: if held {
@@ -292,6 +319,7 @@
             String::new()
         },
         heartbeats: context.settings.listen.heartbeats,
+        told: Some(said.store.as_millis() as u64),
     };
     Put {
         key: SEAT_KEY.into(),
--- a/crates/decide/src/lead.rs
+++ b/crates/decide/src/lead.rs
@@ -1,12 +1,14 @@
 //! Leadership of one instance: a row of the store with a lease, renewed under a condition.
 //!
-//! A holder may act until its lease ends by a clock that also counts the time in which the machine
-//! was suspended. A challenger takes the row over after it has seen the same version for a whole
-//! term by its steady clock, which a suspension can only make longer.
+//! The row says a time of the store's clock that its holder was told before it wrote. A holder may
+//! act for a term from the call that told it, by a clock that also counts the time in which the
+//! machine was suspended. A challenger takes the row over when the store's clock is a whole term
+//! past that time, or when it has seen the same version for a term by its steady clock, which a
+//! suspension can only make longer.
 
 use {std::time::Duration, tokio::time::Instant};
 
-/// Share of the term for which a holder acts after it sent a renewal.
+/// Share of the term for which a holder acts.
 ///
 /// The rest covers clocks that run at different rates and the way of an order to a target.
 const USABLE: f64 = 0.9;
@@ -22,6 +24,15 @@
     pub boot: Duration,
 }
 
+/// A time of the store's clock, with the moment before the call that told it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mark {
+    /// Time of the store's clock.
+    pub store: Duration,
+    /// When the call was sent.
+    pub sent: Moment,
+}
+
 /// The row as the store has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seat {
@@ -31,6 +42,8 @@
     pub own: bool,
     /// Whether its holder gave it up.
     pub vacant: bool,
+    /// Time of the store's clock that it says; `None` where it is not known.
+    pub marked: Option<Duration>,
 }
 
 /// What to do next.
@@ -53,13 +66,15 @@
     term: Duration,
     seat: Option<(Seat, Instant)>,
     held: Option<Held>,
+    mark: Option<Mark>,
+    lapsed: bool,
     unsettled: bool,
     reign: u64,
 }
 
 #[derive(Debug)]
 struct Held {
-    sent: Moment,
+    from: Moment,
     next: Instant,
 }
 
@@ -70,6 +85,8 @@
             term,
             seat: None,
             held: None,
+            mark: None,
+            lapsed: false,
             unsettled: false,
             reign: 0,
         }
@@ -83,7 +100,12 @@
     /// Returns the time at which the lease ends, by the clock that counts suspensions.
     pub fn until(&self) -> Option<Duration> {
         let held = self.held.as_ref()?;
-        Some(held.sent.boot + self.term.mul_f64(USABLE))
+        Some(held.from.boot + self.term.mul_f64(USABLE))
+    }
+
+    /// Returns the latest time of the store's clock that this instance was told; a write says it.
+    pub fn mark(&self) -> Option<Mark> {
+        self.mark
     }
 
     /// Returns whether this instance may act as leader now.
@@ -120,16 +142,23 @@
                 false => Step::Rest,
             };
         }
-        let lapsed = now.steady.duration_since(*since) >= self.term;
+        let lapsed = self.lapsed || now.steady.duration_since(*since) >= self.term;
         match seat.own || seat.vacant || version == 0 || lapsed {
             true => Step::Write { version },
             false => Step::Rest,
         }
     }
 
-    /// Takes the row as it was read from the store.
-    pub fn read(&mut self, seat: Seat, now: Moment) {
+    /// Takes the row as it was read from the store, with the time that the store told.
+    pub fn read(&mut self, seat: Seat, now: Moment, mark: Option<Mark>) {
         self.unsettled = false;
+        if let Some(mark) = mark {
+            self.mark = Some(mark);
+        }
+        let age = mark
+            .zip(seat.marked)
+            .map(|(mark, marked)| mark.store.saturating_sub(marked));
+        self.lapsed = age.is_some_and(|age| age >= self.term);
         if self.held.is_some() && !seat.own {
             self.held = None;
         }
@@ -143,21 +172,30 @@
                 version,
                 own: false,
                 vacant: false,
+                marked: None,
             };
+            self.lapsed = false;
             self.see(seat, now.steady);
         }
     }
 
-    /// Takes the answer to a write that was `sent` then: the row now has this version.
-    pub fn written(&mut self, sent: Moment, version: u64) {
+    /// Takes the answer to a write that said `said`: the row now has this version. The answer
+    /// tells a later time of the store's clock.
+    pub fn written(&mut self, said: Mark, version: u64, told: Mark) {
         let seat = Seat {
             version,
             own: true,
             vacant: false,
+            marked: Some(said.store),
         };
-        self.see(seat, sent.steady);
-        let next = sent.steady + self.term / RENEWAL;
-        self.held = Some(Held { sent, next });
+        self.see(seat, told.sent.steady);
+        self.mark = Some(told);
+        self.lapsed = false;
+        let next = told.sent.steady + self.term / RENEWAL;
+        self.held = Some(Held {
+            from: said.sent,
+            next,
+        });
     }
 
     /// Takes the loss of the answer to a write: it may be done, or be done later.
--- a/crates/decide/tests/lead.rs
+++ b/crates/decide/tests/lead.rs
@@ -1,7 +1,7 @@
 //! Leadership: at most one instance acts at a time, whatever the store and the machines do.
 
 use {
-    cowslip_decide::lead::{Lead, Moment, Seat, Step},
+    cowslip_decide::lead::{Lead, Mark, Moment, Seat, Step},
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::time::Duration,
     tokio::time::Instant,
@@ -23,8 +23,10 @@
 struct Row {
     version: u64,
     writer: Option<usize>,
-    /// Writes whose answer was lost and that are carried out later: tick, condition, writer.
-    late: Vec<(u32, u64, usize)>,
+    marked: Option<Duration>,
+    /// Writes whose answer was lost and that are carried out later: tick, condition, writer, time
+    /// that they say.
+    late: Vec<(u32, u64, usize, Duration)>,
 }
 
 impl Machine {
@@ -42,15 +44,17 @@
             version: self.version,
             own: self.writer == Some(reader),
             vacant: false,
+            marked: self.marked,
         }
     }
 
-    fn write(&mut self, version: u64, writer: usize) -> bool {
+    fn write(&mut self, version: u64, writer: usize, said: Duration) -> bool {
         if self.version != version {
             return false;
         }
         self.version += 1;
         self.writer = Some(writer);
+        self.marked = Some(said);
         true
     }
 }
@@ -80,9 +84,9 @@
         (down, lossy) = (down.saturating_sub(1), lossy.saturating_sub(1));
         let (due, rest) = row.late.iter().partition(|(at, ..)| *at <= tick);
         row.late = rest;
-        let due: Vec<(u32, u64, usize)> = due;
-        for (_, version, writer) in due {
-            row.write(version, writer);
+        let due: Vec<(u32, u64, usize, Duration)> = due;
+        for (_, version, writer, said) in due {
+            row.write(version, writer, said);
         }
         for (at, machine) in machines.iter_mut().enumerate() {
             machine.boot += TICK;
@@ -97,28 +101,40 @@
             }
             let now = machine.now();
             let step = machine.lead.step(now);
+            // The call was sent a little before the store answered it.
+            let told = Mark {
+                store: TICK * tick,
+                sent: now,
+            };
             if down > 0 {
                 continue;
             }
             match step {
-                Step::Rest if rng.random_bool(0.2) => machine.lead.read(row.seat(at), now),
+                Step::Rest if rng.random_bool(0.2) => {
+                    machine.lead.read(row.seat(at), now, Some(told))
+                }
                 Step::Rest => {}
-                Step::Read => machine.lead.read(row.seat(at), now),
-                Step::Write { version } if lossy > 0 && rng.random_bool(0.4) => {
-                    machine.lead.unanswered();
-                    match rng.random_bool(0.5) {
-                        true => drop(row.write(version, at)),
-                        false => {
-                            let later = tick + rng.random_range(20..120);
-                            row.late.push((later, version, at));
+                Step::Read => machine.lead.read(row.seat(at), now, Some(told)),
+                Step::Write { version } => {
+                    let Some(said) = machine.lead.mark() else {
+                        machine.lead.read(row.seat(at), now, Some(told));
+                        continue;
+                    };
+                    if lossy > 0 && rng.random_bool(0.4) {
+                        machine.lead.unanswered();
+                        if rng.random_bool(0.5) {
+                            row.write(version, at, said.store);
+                            continue;
                         }
+                        let later = tick + rng.random_range(20..120);
+                        row.late.push((later, version, at, said.store));
+                    } else if row.write(version, at, said.store) {
+                        // The machine may be suspended while the answer is on its way.
+                        machine.lead.written(said, row.version, told);
+                    } else {
+                        machine.lead.read(row.seat(at), now, Some(told));
                     }
                 }
-                Step::Write { version } => match row.write(version, at) {
-                    // The machine may be suspended while the answer is on its way.
-                    true => machine.lead.written(now, row.version),
-                    false => machine.lead.read(row.seat(at), now),
-                },
             }
         }
         let acting: Vec<usize> = (0..machines.len())
@@ -148,7 +164,11 @@
         steady: start,
         boot: Duration::ZERO,
     };
-    lead.written(before, 1);
+    let mark = Mark {
+        store: Duration::ZERO,
+        sent: before,
+    };
+    lead.written(mark, 1, mark);
     assert!(lead.leads(before));
     let after = Moment {
         steady: start,
@@ -170,3 +190,27 @@
     assert_eq!(lead.step(at(2300)), Step::Rest);
     assert_eq!(lead.step(at(2400)), Step::Write { version: 7 });
 }
+
+#[test]
+fn a_row_that_is_a_term_old_by_the_clock_of_the_store_is_taken_at_once() {
+    // After a loss of all instances none has seen the row for long.
+    let now = Moment {
+        steady: Instant::now(),
+        boot: Duration::from_secs(100),
+    };
+    let seat = Seat {
+        version: 4,
+        own: false,
+        vacant: false,
+        marked: Some(Duration::from_secs(50)),
+    };
+    let told = |millis: u64| Mark {
+        store: Duration::from_secs(50) + Duration::from_millis(millis),
+        sent: now,
+    };
+    let mut lead = Lead::new(TERM);
+    lead.read(seat.clone(), now, Some(told(2300)));
+    assert_eq!(lead.step(now), Step::Rest);
+    lead.read(seat, now, Some(told(2400)));
+    assert_eq!(lead.step(now), Step::Write { version: 4 });
+}
