--- a/crates/cowslipcross/src/direct/context.rs
+++ b/crates/cowslipcross/src/direct/context.rs
@@ -143,7 +143,6 @@
     /// # Errors
     /// Fails if the log cannot be opened.
     pub fn new(settings: Settings, beats: UdpSocket) -> eyre::Result<Self> {
-        let now = Instant::now();
         let incarnation = Incarnation(since_epoch().as_micros() as u64);
         let origin = Origin {
             process: settings.name.clone(),
@@ -162,7 +161,7 @@
             writing: Mutex::new(()),
             config: RefCell::default(),
             routes: RefCell::default(),
-            targets: RefCell::new(Rc::new(Targets::empty(now))),
+            targets: RefCell::new(Rc::new(Targets::empty())),
             withdrawn: RefCell::default(),
             owners: RefCell::default(),
             blocks: RefCell::default(),
--- /dev/null
+++ b/crates/cowslipcross/src/direct/courier.rs
@@ -0,0 +1,145 @@
+//! Orders of the leader to the owners of keys.
+
+use {
+    super::context::Context,
+    crate::events::{self, About},
+    cowslip_adapter::{
+        Error,
+        http::Client,
+        orders::{self, Grant, Granted},
+    },
+    cowslip_decide::{
+        names::Name,
+        owners::{Done, Life, Order, Piece},
+    },
+    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::sync::Mutex,
+};
+
+/// Longest time for the answer to a grant.
+pub const GRANT_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time for the answer to a release, which waits for the work on the keys.
+const RELEASE_LIMIT: Duration = Duration::from_millis(2500);
+
+/// Sends orders, and knows where the targets are.
+#[derive(Default)]
+pub struct Courier {
+    clients: RefCell<BTreeMap<SocketAddr, Clients>>,
+    /// Last known addresses: a target whose report has lapsed may still hold keys.
+    addresses: RefCell<BTreeMap<Name, SocketAddr>>,
+}
+
+/// Connections to a target for orders.
+#[derive(Clone)]
+struct Clients {
+    /// Grants go one after the other, so that they need one connection.
+    grants: Rc<Mutex<Client>>,
+    /// Releases wait for work at the target, so each has its own call.
+    releases: Rc<Client>,
+}
+
+impl Courier {
+    /// Sends an order to its target, unless this instance is no longer the leader.
+    pub async fn carry(&self, context: &Context, order: &Order) -> Done {
+        let (Order::Grant { piece, .. } | Order::Release { piece }) = order;
+        if matches!(order, Order::Release { .. }) {
+            let about = about(piece, format!("fence {}", piece.fence));
+            context.events.note(events::RANGE_LEAVING, about);
+        }
+        let done = match &piece.owner {
+            Some(owner) => self.send(context, order, piece, owner).await,
+            None => Done::Unsent,
+        };
+        note(context, order, &done);
+        done
+    }
+
+    async fn send(&self, context: &Context, order: &Order, piece: &Piece, owner: &Life) -> Done {
+        let Some(clients) = self.clients(context, &owner.id) else {
+            return Done::Unsent;
+        };
+        let end = match order {
+            Order::Grant { hold, handover, .. } => {
+                let grant = Grant {
+                    first: piece.first,
+                    last: piece.last,
+                    fence: piece.fence,
+                    hold: *hold,
+                    handover: handover.clone(),
+                };
+                let client = clients.grants.lock().await;
+                if !context.leads() {
+                    return Done::Unsent;
+                }
+                let granted = orders::grant(&client, &owner.id, &grant, GRANT_LIMIT).await;
+                granted.map(of_grant)
+            }
+            Order::Release { .. } if !context.leads() => return Done::Unsent,
+            Order::Release { .. } => {
+                let keys = (piece.first, piece.last);
+                let client = &clients.releases;
+                orders::release(client, &owner.id, keys, piece.fence, RELEASE_LIMIT)
+                    .await
+                    .map(Done::Released)
+            }
+        };
+        end.unwrap_or_else(|error| of_error(&error))
+    }
+
+    /// Returns the connections to a target, where it is or last was.
+    fn clients(&self, context: &Context, id: &Name) -> Option<Clients> {
+        let targets = context.targets.borrow();
+        let mut addresses = self.addresses.borrow_mut();
+        if let Some(seen) = targets.get(id) {
+            addresses.insert(id.clone(), seen.target.address);
+        }
+        let address = *addresses.get(id)?;
+        let mut clients = self.clients.borrow_mut();
+        let clients = clients.entry(address).or_insert_with(|| Clients {
+            grants: Rc::new(Mutex::new(Client::new(address))),
+            releases: Rc::new(Client::new(address)),
+        });
+        Some(clients.clone())
+    }
+}
+
+fn of_grant(granted: Granted) -> Done {
+    match granted {
+        Granted::Held => Done::Held,
+        Granted::Outdated => Done::Outdated,
+    }
+}
+
+fn of_error(error: &Error) -> Done {
+    match error {
+        // Another target has the address: the owner's process has ended.
+        Error::Misdirected => Done::Ended,
+        // A target that has as many connections as it may have refuses further ones, too.
+        Error::Refused | Error::NotSent(_) | Error::Rejected { .. } => Done::Unsent,
+        Error::Unknown(_) | Error::Malformed { .. } => Done::Unknown,
+    }
+}
+
+fn note(context: &Context, order: &Order, done: &Done) {
+    context.metrics.order(order, done);
+    let (Order::Grant { piece, .. } | Order::Release { piece }) = order;
+    let (code, what) = match (order, done) {
+        (Order::Grant { .. }, Done::Held) => return,
+        (Order::Grant { .. }, Done::Outdated) => (events::GRANT_REFUSED, "higher fence seen"),
+        (Order::Release { .. }, Done::Released(_)) => (events::RANGE_RELEASED, "released"),
+        (_, Done::Ended) => (events::ORDER_FAILED, "process has ended"),
+        (_, Done::Unsent) => (events::ORDER_FAILED, "not sent"),
+        _ => (events::ORDER_FAILED, "no answer"),
+    };
+    let about = about(piece, format!("{what}, fence {}", piece.fence));
+    context.events.note(code, about);
+}
+
+fn about(piece: &Piece, detail: String) -> About {
+    About {
+        key: Some(format!("{}-{}", piece.first, piece.last).into()),
+        target: piece.owner.as_ref().map(|it| it.id.clone()),
+        detail: Some(detail),
+        ..About::default()
+    }
+}
--- a/crates/cowslipcross/src/direct/keep.rs
+++ b/crates/cowslipcross/src/direct/keep.rs
@@ -4,25 +4,17 @@
     super::{
         beat::{self, Members},
         context::Context,
-        follow,
+        courier::{self, Courier},
+        follow::{self, Standing},
         seat::{self, Recorded},
     },
-    crate::events::{self, About},
-    cowslip_adapter::{
-        Error,
-        http::Client,
-        orders::{self, Grant, Granted},
-    },
+    crate::events,
     cowslip_decide::{
         names::Name,
-        owners::{
-            Candidate, Capacity, Done, Keeper, Life, Loads, Order, Piece, Table, Timing, balance,
-            least_loaded,
-        },
+        owners::{Candidate, Capacity, Keeper, Life, Loads, Table, Timing, balance, least_loaded},
     },
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
-        sync::Mutex,
         task::spawn_local,
         time::{Instant, sleep, timeout},
     },
@@ -36,10 +28,6 @@
 const RENEWAL: Duration = Duration::from_millis(650);
 /// Time after which an order that failed is sent again.
 const RETRY: Duration = Duration::from_millis(150);
-/// Longest time for the answer to a grant.
-const GRANT_LIMIT: Duration = Duration::from_millis(500);
-/// Longest time for the answer to a release, which waits for the work on the keys.
-const RELEASE_LIMIT: Duration = Duration::from_millis(2500);
 /// Period of heartbeats.
 const BEAT: Duration = Duration::from_millis(500);
 /// Time by which heartbeats with new owners follow their grants.
@@ -61,16 +49,7 @@
     services: BTreeMap<Name, Service>,
     /// Time as leader to which the services belong.
     reign: u64,
-    clients: BTreeMap<SocketAddr, Clients>,
-}
-
-/// Connections to a target for orders.
-#[derive(Clone)]
-struct Clients {
-    /// Grants go one after the other, so that they need one connection.
-    grants: Rc<Mutex<Client>>,
-    /// Releases wait for work at the target, so each has its own call.
-    releases: Rc<Client>,
+    courier: Rc<Courier>,
 }
 
 /// One divided service as its leader keeps it.
@@ -160,7 +139,7 @@
         return false;
     }
     let now = Instant::now();
-    let all = follow::usable(context, name);
+    let all = follow::standings(context, name);
     let capacity = capacity(context, &all);
     {
         let mut desk = desk.borrow_mut();
@@ -170,10 +149,10 @@
         if capacity.is_empty() && service.begun.elapsed() < GATHER {
             return false;
         }
-        let candidates = all.iter().map(|(id, (born, open, _))| {
+        let candidates = all.iter().map(|(id, it)| {
             let candidate = Candidate {
-                born: *born,
-                usable: *open,
+                born: it.born,
+                usable: it.open,
             };
             (id.clone(), candidate)
         });
@@ -204,7 +183,7 @@
         max_hold,
         renewal: RENEWAL,
         retry: RETRY,
-        flight: GRANT_LIMIT,
+        flight: courier::GRANT_LIMIT,
     };
     let service = Service {
         keeper: Keeper::new(&table, timing, now),
@@ -257,7 +236,7 @@
 }
 
 /// Returns what the targets that may get keys can do; cold ones only where there is no other.
-fn capacity(context: &Context, all: &BTreeMap<Name, (u64, bool, bool)>) -> Capacity {
+fn capacity(context: &Context, all: &BTreeMap<Name, Standing>) -> Capacity {
     let mut reports = context.reports.borrow_mut();
     let targets = context.targets.borrow();
     reports.paces.retain(|id, _| targets.get(id).is_some());
@@ -272,7 +251,7 @@
     };
     let slots = |id: &Name| targets.get(id).map_or(1, |it| it.target.slots) as f64;
     let open = |cold: bool| {
-        let chosen = all.iter().filter(move |(_, it)| it.1 && it.2 == cold);
+        let chosen = all.iter().filter(move |(_, it)| it.open && it.cold == cold);
         chosen
             .map(|(id, _)| (id.clone(), slots(id) * speed(id)))
             .collect::<Capacity>()
@@ -310,7 +289,7 @@
     context: &Rc<Context>,
     desk: &Rc<RefCell<Desk>>,
     name: &Name,
-    (all, capacity): (&BTreeMap<Name, (u64, bool, bool)>, &Capacity),
+    (all, capacity): (&BTreeMap<Name, Standing>, &Capacity),
 ) -> bool {
     let Some((version, table)) = proposal(context, desk, name, all, capacity) else {
         return false;
@@ -344,7 +323,7 @@
     context: &Context,
     desk: &RefCell<Desk>,
     name: &Name,
-    all: &BTreeMap<Name, (u64, bool, bool)>,
+    all: &BTreeMap<Name, Standing>,
     capacity: &Capacity,
 ) -> Option<(u64, Table)> {
     let mut desk = desk.borrow_mut();
@@ -354,7 +333,7 @@
     }
     let ended = service.keeper.ended().clone();
     let life = |id: &Name| {
-        let born = all.get(id)?.0;
+        let born = all.get(id)?.born;
         let life = Life {
             id: id.clone(),
             born,
@@ -402,12 +381,8 @@
         let (context, desk, name) = (context.clone(), desk.clone(), name.clone());
         spawn_local(async move {
             let sent = Instant::now();
-            if let Order::Release { piece } = &order {
-                let about = about(piece, format!("fence {}", piece.fence));
-                context.events.note(events::RANGE_LEAVING, about);
-            }
-            let done = carry(&context, &desk, &order).await;
-            note(&context, &order, &done);
+            let courier = desk.borrow().courier.clone();
+            let done = courier.carry(&context, &order).await;
             let mut desk = desk.borrow_mut();
             // The orders of an earlier time as leader are not this keeper's.
             if let Some(service) = desk.services.get_mut(&name).filter(|it| it.begun == begun) {
@@ -417,109 +392,3 @@
         });
     }
 }
-
-/// Sends an order to its target.
-async fn carry(context: &Context, desk: &RefCell<Desk>, order: &Order) -> Done {
-    let (Order::Grant { piece, .. } | Order::Release { piece }) = order;
-    let Some(owner) = &piece.owner else {
-        return Done::Unsent;
-    };
-    let target = context
-        .targets
-        .borrow()
-        .get(&owner.id)
-        .map(|it| it.target.clone());
-    let line = context.lines.borrow().get(&owner.id).map(|it| it.address);
-    let Some(address) = target.map(|it| it.address).or(line) else {
-        return Done::Unsent;
-    };
-    let clients = desk
-        .borrow_mut()
-        .clients
-        .entry(address)
-        .or_insert_with(|| Clients {
-            grants: Rc::new(Mutex::new(Client::new(address))),
-            releases: Rc::new(Client::new(address)),
-        })
-        .clone();
-    if !context.leads() {
-        return Done::Unsent;
-    }
-    let keys = (piece.first, piece.last);
-    let end = match order {
-        Order::Grant { hold, handover, .. } => {
-            let grant = Grant {
-                first: piece.first,
-                last: piece.last,
-                fence: piece.fence,
-                hold: *hold,
-                handover: handover.clone(),
-            };
-            let client = clients.grants.lock().await;
-            if !context.leads() {
-                return Done::Unsent;
-            }
-            orders::grant(&client, &owner.id, &grant, GRANT_LIMIT)
-                .await
-                .map(Done::from_grant)
-        }
-        Order::Release { .. } => orders::release(
-            &clients.releases,
-            &owner.id,
-            keys,
-            piece.fence,
-            RELEASE_LIMIT,
-        )
-        .await
-        .map(Done::Released),
-    };
-    end.unwrap_or_else(|error| Done::from_error(&error))
-}
-
-trait FromAnswer {
-    fn from_grant(granted: Granted) -> Self;
-    fn from_error(error: &Error) -> Self;
-}
-
-impl FromAnswer for Done {
-    fn from_grant(granted: Granted) -> Self {
-        match granted {
-            Granted::Held => Self::Held,
-            Granted::Outdated => Self::Outdated,
-        }
-    }
-
-    fn from_error(error: &Error) -> Self {
-        match error {
-            // Another target has the address: the owner's process has ended.
-            Error::Misdirected => Self::Ended,
-            // A target that has as many connections as it may have refuses further ones, too.
-            Error::Refused | Error::NotSent(_) | Error::Rejected { .. } => Self::Unsent,
-            Error::Unknown(_) | Error::Malformed { .. } => Self::Unknown,
-        }
-    }
-}
-
-fn note(context: &Context, order: &Order, done: &Done) {
-    context.metrics.order(order, done);
-    let (Order::Grant { piece, .. } | Order::Release { piece }) = order;
-    let (code, what) = match (order, done) {
-        (Order::Grant { .. }, Done::Held) => return,
-        (Order::Grant { .. }, Done::Outdated) => (events::GRANT_REFUSED, "higher fence seen"),
-        (Order::Release { .. }, Done::Released(_)) => (events::RANGE_RELEASED, "released"),
-        (_, Done::Ended) => (events::ORDER_FAILED, "process has ended"),
-        (_, Done::Unsent) => (events::ORDER_FAILED, "not sent"),
-        _ => (events::ORDER_FAILED, "no answer"),
-    };
-    let about = about(piece, format!("{what}, fence {}", piece.fence));
-    context.events.note(code, about);
-}
-
-fn about(piece: &Piece, detail: String) -> About {
-    About {
-        key: Some(format!("{}-{}", piece.first, piece.last).into()),
-        target: piece.owner.as_ref().map(|it| it.id.clone()),
-        detail: Some(detail),
-        ..About::default()
-    }
-}
--- a/crates/cowslipcross/src/direct/mod.rs
+++ b/crates/cowslipcross/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod choose;
 mod clock;
 mod context;
+mod courier;
 mod deliver;
 mod entry;
 mod exchange;
--- a/crates/cowslipcross/src/direct/view.rs
+++ b/crates/cowslipcross/src/direct/view.rs
@@ -35,7 +35,7 @@
 
 impl Targets {
     /// Returns the view of an instance that has not read the targets yet.
-    pub fn empty(_now: Instant) -> Self {
+    pub fn empty() -> Self {
         Self {
             seen: BTreeMap::new(),
             read: None,
--- a/crates/cowslipcross/tests/direct.rs
+++ b/crates/cowslipcross/tests/direct.rs
@@ -161,6 +161,20 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_whose_report_lapsed_is_asked_to_release_its_keys() {
+    let world = World::start(2, 3, 2, WORK).await;
+    world.boards[0].vanish(&world.store);
+    until(|| async {
+        let keys = (0..=65_535u64).step_by(499);
+        keys.clone()
+            .all(|key| world.owners(key) == 1 && !world.boards[0].holds(key))
+    })
+    .await;
+    // Without the address of its last report only its hold would have run out.
+    assert!(world.boards[0].released() > 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_is_in_force_everywhere_and_never_goes_back() {
     let world = World::start(2, 2, 2, WORK).await;
