--- a/crates/cowslipcross/src/direct/deliver.rs
+++ b/crates/cowslipcross/src/direct/deliver.rs
@@ -67,7 +67,7 @@
             return given_up(&course, Reason::Deadline);
         }
         let next = match choose(&context, &request) {
-            Choice::Refuse(wait) => return refuse(Reason::Overload, wait),
+            Choice::Refuse(wait) => return given_back(&course, wait),
             Choice::Wait(look) => Next::Change(look),
             Choice::Owner(line, target) => {
                 course.waiting = None;
@@ -223,82 +223,69 @@
     target: &Name,
     end: End,
 ) -> Next {
-    let now = Instant::now();
     context.metrics.ended(&request.service, &end);
+    let now = Instant::now();
+    let told = |code, cause: &str| note(context, code, request, target, cause);
     match end {
         End::Whole(whole) => {
             unblock(context, request);
-            let failed = whole.status.is_server_error() && request.route.repeatable;
             course.run += 1;
-            if failed && again(context, request, course, target) {
-                return Next::Again(now);
+            let failed = whole.status.is_server_error() && request.route.repeatable;
+            match failed && again(context, request, course, target) {
+                true => Next::Again(now),
+                false => Next::Answer(Answer::Whole(whole)),
             }
-            Next::Answer(Answer::Whole(whole))
         }
         End::Unrun(signs) if signs.misdirected && request.key.is_some() => {
-            note(context, events::WRONG_OWNER, request, target, "owner moved");
+            told(events::WRONG_OWNER, "owner moved");
             block(context, request);
             course.refused += 1;
-            if course.refused > 2 * MOST_REFUSED || !context.may_repeat(&request.service) {
-                return Next::Answer(refuse(Reason::NoOwner, COME_BACK));
+            match course.refused <= 2 * MOST_REFUSED && context.may_repeat(&request.service) {
+                true => Next::Change(LINK_WAIT),
+                false => Next::Answer(end_unrun(course, Reason::NoOwner)),
             }
-            Next::Change(LINK_WAIT)
         }
         End::Unrun(_) => {
-            note(context, events::TARGET_SHED, request, target, "refused");
+            told(events::TARGET_SHED, "refused");
             course.refused += 1;
-            if course.refused > MOST_REFUSED || !context.may_repeat(&request.service) {
-                return Next::Answer(end_unrun(course, Reason::Shed));
-            }
-            match request.key {
-                Some(_) => Next::Again(now + SHED_WAIT),
-                None => {
-                    course.tried.push(target.clone());
-                    Next::Again(now)
-                }
+            match course.refused <= MOST_REFUSED && context.may_repeat(&request.service) {
+                true => elsewhere(request, course, target, SHED_WAIT),
+                false => Next::Answer(end_unrun(course, Reason::Shed)),
             }
         }
         End::Unsent(cause) => {
-            note(
-                context,
-                events::NO_CONNECTION,
-                request,
-                target,
-                cause.text(),
-            );
+            told(events::NO_CONNECTION, cause.text());
             course.refused += 1;
-            if course.refused > 2 * MOST_REFUSED {
-                return Next::Answer(end_unrun(course, Reason::Broken));
-            }
-            match request.key {
-                Some(_) => Next::Again(now + LINK_WAIT),
-                None => {
-                    course.tried.push(target.clone());
-                    Next::Again(now)
-                }
+            match course.refused <= 2 * MOST_REFUSED {
+                true => elsewhere(request, course, target, LINK_WAIT),
+                false => Next::Answer(end_unrun(course, Reason::Broken)),
             }
         }
         End::Broken(cause) => {
-            note(context, events::MAY_HAVE_RUN, request, target, cause);
+            told(events::MAY_HAVE_RUN, cause);
             course.run += 1;
-            if request.route.repeatable && again(context, request, course, target) {
-                return Next::Again(now);
+            match request.route.repeatable && again(context, request, course, target) {
+                true => Next::Again(now),
+                false => Next::Answer(Answer::Failed(Reason::Broken)),
             }
-            Next::Answer(Answer::Failed(Reason::Broken))
         }
         End::Late => {
-            note(
-                context,
-                events::MAY_HAVE_RUN,
-                request,
-                target,
-                "deadline passed",
-            );
+            told(events::MAY_HAVE_RUN, "deadline passed");
             Next::Answer(Answer::TimedOut)
         }
     }
 }
 
+/// Tries another target at once, or the only one that owns the key after a wait.
+fn elsewhere(request: &Request, course: &mut Course, target: &Name, wait: Duration) -> Next {
+    let now = Instant::now();
+    if request.key.is_some() {
+        return Next::Again(now + wait);
+    }
+    course.tried.push(target.clone());
+    Next::Again(now)
+}
+
 /// Lets requests for the same keys wait for another owner.
 fn block(context: &Context, request: &Request) {
     let owners = context.owners.borrow();
@@ -328,6 +315,7 @@
     true
 }
 
+/// Returns the answer to a request whose last attempt did not run.
 fn end_unrun(course: &Course, reason: Reason) -> Answer {
     match course.run {
         0 => refuse(reason, COME_BACK),
--- a/crates/cowslipcross/src/direct/permit.rs
+++ b/crates/cowslipcross/src/direct/permit.rs
@@ -110,62 +110,34 @@
     let Some(holder) = holder(context, &pool) else {
         return Permitted::Alone;
     };
-    let permits = &context.permits;
-    let number = permits.next.get();
-    permits.next.set(number + 1);
-    let waiter = Rc::new(Waiter::default());
-    permits.waiters.borrow_mut().insert(number, waiter.clone());
-    let permit = Permit {
-        context: context.clone(),
-        holder,
-        number,
-        outcome: Cell::new(Outcome::Unused),
-        slowness: Cell::new(None),
-    };
-    let question = || {
-        let now = Instant::now();
-        Message::Ask {
-            number,
-            service: request.service.clone(),
-            target: target.cloned(),
-            rank: request.route.rank,
-            left: request.deadline.saturating_duration_since(now).as_millis() as u64,
-            goal: (request.arrived + request.route.goal)
-                .saturating_duration_since(now)
-                .as_millis() as u64,
-            data_centre: context.settings.data_centre.clone(),
-            tried: tried.to_vec(),
-        }
-    };
+    let (permit, waiter) = begin(context, holder);
     let mut unanswered = 0;
     loop {
-        tell(context, question(), holder);
-        let limit = Instant::now() + ASK_AGAIN;
+        let question = question(context, request, &pool, permit.number, tried);
+        tell(context, question, holder);
         // A late reply counts as none; the question is repeated.
-        let _ = timeout_at(limit, waiter.heard()).await;
+        let _ = timeout_at(Instant::now() + ASK_AGAIN, waiter.heard()).await;
         let mut reply = waiter.reply.borrow_mut().take();
-        if reply == Some(Reply::Queued) {
-            unanswered = 0;
-            let changed = context.changed.notified();
-            let check = (Instant::now() + CHECK).min(request.deadline);
-            tokio::select! {
-                _ = timeout_at(check, waiter.heard()) => {}
-                () = changed, if target.is_some() => return Permitted::Changed,
-            }
-            reply = waiter.reply.borrow_mut().take();
-            if Instant::now() >= request.deadline && reply.is_none() {
-                return Permitted::No(Duration::ZERO);
+        match reply {
+            None => unanswered += 1,
+            Some(Reply::Queued) => {
+                unanswered = 0;
+                let changed = context.changed.notified();
+                let check = (Instant::now() + CHECK).min(request.deadline);
+                tokio::select! {
+                    _ = timeout_at(check, waiter.heard()) => {}
+                    () = changed, if target.is_some() => return Permitted::Changed,
+                }
+                reply = waiter.reply.borrow_mut().take();
             }
-        } else if reply.is_none() {
-            unanswered += 1;
+            _ => {}
         }
         match reply {
             Some(Reply::Granted(target)) => return Permitted::Yes(permit, target),
             Some(Reply::Refused(wait)) => return Permitted::No(wait),
+            _ if Instant::now() >= request.deadline => return Permitted::No(Duration::ZERO),
             _ if unanswered >= MOST_ASKS => {
-                let until = Instant::now() + SILENT;
-                permits.silent.borrow_mut().insert(holder, until);
-                context.metrics.silent_holder();
+                pass_over(context, holder);
                 return Permitted::Alone;
             }
             _ => {}
@@ -173,6 +145,51 @@
     }
 }
 
+/// Makes a permit that is not given yet, and who waits for it.
+fn begin(context: &Rc<Context>, holder: SocketAddr) -> (Permit, Rc<Waiter>) {
+    let permits = &context.permits;
+    let number = permits.next.get();
+    permits.next.set(number + 1);
+    let waiter = Rc::new(Waiter::default());
+    permits.waiters.borrow_mut().insert(number, waiter.clone());
+    let permit = Permit {
+        context: context.clone(),
+        holder,
+        number,
+        outcome: Cell::new(Outcome::Unused),
+        slowness: Cell::new(None),
+    };
+    (permit, waiter)
+}
+
+fn question(
+    context: &Context,
+    request: &Request,
+    pool: &PoolKey,
+    number: u64,
+    tried: &[Name],
+) -> Message {
+    let now = Instant::now();
+    let left = |until: Instant| until.saturating_duration_since(now).as_millis() as u64;
+    Message::Ask {
+        number,
+        service: pool.0.clone(),
+        target: pool.1.clone(),
+        rank: request.route.rank,
+        left: left(request.deadline),
+        goal: left(request.arrived + request.route.goal),
+        data_centre: context.settings.data_centre.clone(),
+        tried: tried.to_vec(),
+    }
+}
+
+/// Leaves a holder that does not reply alone for a while.
+fn pass_over(context: &Context, holder: SocketAddr) {
+    let until = Instant::now() + SILENT;
+    context.permits.silent.borrow_mut().insert(holder, until);
+    context.metrics.silent_holder();
+}
+
 impl Waiter {
     async fn heard(&self) {
         // A stored notification may belong to a reply that was taken before.
@@ -305,10 +322,13 @@
         let now = Instant::now();
         let mut replies = Vec::new();
         let mut pools = context.permits.pools.borrow_mut();
-        for (key, pool) in pools.iter_mut().filter(|(_, pool)| pool.waiting() > 0) {
+        for (key, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_idle()) {
             pool.update(&members(&context, key, now), now);
             replies.extend(pool.serve(now));
         }
+        let mut askers = context.permits.askers.borrow_mut();
+        askers.retain(|asker, key| pools.get(key).is_some_and(|pool| pool.knows(asker)));
+        drop(askers);
         drop(pools);
         send_all(&context, replies);
     }
--- a/crates/decide/src/permits.rs
+++ b/crates/decide/src/permits.rs
@@ -150,6 +150,12 @@
         self.queue.is_empty() && self.targets.values().all(|it| it.running.is_empty())
     }
 
+    /// Returns whether someone waits or has a permit.
+    pub fn knows(&self, asker: &Asker<A>) -> bool {
+        let waits = self.queue.iter().any(|(known, _)| known == asker);
+        waits || self.holds(asker).is_some()
+    }
+
     /// Returns how many wait.
     pub fn waiting(&self) -> usize {
         self.queue.len()
