feat: targets that announce their stop in answers, ask for quiet, or send bytes without end

Cause: nothing read Server-Leaving, or Retry-After of a refusal; a body of up to 32 MiB for each of any number of responses was buffered; interim responses had no bound; a refusal with the id of another request, such as a late copy of it, was taken for one of the request in progress, and so reported as not run although that request ran; responses to commands were not told apart at all.

Change: - An incarnation that has announced or reported that it drains never counts as ready again. The instance that learns of it tells the leader at once and with its reports, the leader tells the others with its heartbeats; the leader also learns it from responses to its grants. Keys move without waiting for the report. - A quiet period is kept by instance and incarnation. Its target is not selected, the coordinator of its pool grants no permits for it to that instance, and callers are refused at once if no other target can serve them. Values: seconds, at most an hour; a date, a negative number or NaN counts as absent. - Heads of at most 64 KiB, 16 interim responses, bodies of 32 MiB together beyond 64 KiB each; the body of a refusal is given 100 ms, as the outcome is known without it. - Commands carry a request id; a response with another one leaves the outcome unknown.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -8,10 +8,13 @@
         metrics::Metrics,
         peers::{datagram::PeerSocket, membership::Membership},
         serve::{
-            blocked_keys::BlockedKeys, permits::Permits, routes::Routes,
-            target_connections::TargetConnections,
+            blocked_keys::BlockedKeys, permits::Permits, quiet_targets::QuietTargets,
+            response_memory::ResponseMemory, routes::Routes, target_connections::TargetConnections,
+        },
+        views::{
+            leaving_targets::LeavingTargets, target_snapshot::TargetSnapshot,
+            target_updates::TargetUpdates,
         },
-        views::{target_snapshot::TargetSnapshot, target_updates::TargetUpdates},
     },
     cowslip_adapter::{config::Config, store::Store},
     cowslip_decide::{
@@ -135,6 +138,12 @@
     pub assignment_requests: Cell<(u32, Option<Instant>)>,
     /// Keys whose owner refused a request a moment ago.
     pub blocked_keys: RefCell<BlockedKeys>,
+    /// Targets that have announced in their responses that they are about to stop.
+    pub leaving_targets: RefCell<LeavingTargets>,
+    /// Targets that want no requests from this instance for some time.
+    pub quiet_targets: RefCell<QuietTargets>,
+    /// Memory for the bodies of targets' responses.
+    pub response_memory: ResponseMemory,
     /// Connections to targets, with their load.
     pub connections: RefCell<BTreeMap<Name, Rc<TargetConnections>>>,
     /// Requests and retries by service within the retry window.
@@ -223,6 +232,9 @@
             recorded_assignments: RefCell::default(),
             assignment_requests: Cell::new((0, None)),
             blocked_keys: RefCell::default(),
+            leaving_targets: RefCell::default(),
+            quiet_targets: RefCell::default(),
+            response_memory: ResponseMemory::default(),
             connections: RefCell::default(),
             retry_windows: RefCell::default(),
             splitters: RefCell::default(),
--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -93,6 +93,9 @@
         "If it is frequent, compare the slots that the target reports with the load it can serve.";
     405 TARGET_DRAINING Info None; "target {target} draining: {detail}";
         "The target finishes its work and gets no new work."; "Nothing.";
+    408 TARGET_QUIET Info FREQUENT_RATE; "target {target} wants no requests from this instance: {detail}";
+        "The target refused a request and asked this instance to send no further ones for some time.";
+        "If it is frequent, compare the slots that the target reports with the load it can serve.";
     409 GRANT_REFUSED Warn FREQUENT_RATE; "target {target} refused a grant: {detail}";
         "The target has seen a higher fence for these keys than that of the grant.";
         "Nothing, if it ends within seconds of a move.";
--- a/crates/cowslipcross/src/lead/command_sender.rs
+++ b/crates/cowslipcross/src/lead/command_sender.rs
@@ -4,6 +4,7 @@
     crate::{
         context::Context,
         events::{self, EventFields},
+        views::leaving_targets,
     },
     cowslip_adapter::{
         Error, Result,
@@ -96,7 +97,10 @@
                     return Err(not_sent_error("no longer leader"));
                 }
                 let granted = commands::send_grant(&client, &owner.id, &grant, GRANT_TIMEOUT).await;
-                granted.map(outcome_of_grant)
+                if granted.as_ref().is_ok_and(|it| it.leaving) {
+                    leaving_targets::record(context, owner, "response to a grant");
+                }
+                granted.map(|it| outcome_of_grant(it.outcome))
             }
             Command::Release { .. } if !may_send() => Err(not_sent_error("no longer leader")),
             Command::Release { .. } => {
@@ -114,8 +118,8 @@
         let address = context.target_addresses.borrow().get(id)?.socket_address;
         let mut clients = self.clients.borrow_mut();
         let clients = clients.entry(address).or_insert_with(|| TargetClients {
-            grants: Rc::new(Mutex::new(Client::new(address))),
-            releases: Rc::new(Client::new(address)),
+            grants: Rc::new(Mutex::new(Client::for_target(address))),
+            releases: Rc::new(Client::for_target(address)),
         });
         Some(clients.clone())
     }
--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -9,10 +9,10 @@
         peers::{
             assignments, datagram,
             membership::{self, Member, Membership},
-            message::{InstanceReport, LeaderHeartbeat, Message},
+            message::{InstanceReport, LeaderHeartbeat, Message, WireIncarnation},
         },
         serve::permits,
-        views::{target_updates, targets},
+        views::{leaving_targets, target_updates, targets},
     },
     cowslip_decide::names::Name,
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -60,6 +60,21 @@
         assignments::apply_update(context, service, update, from);
     }
     targets::handle_update(context, heartbeat.target_update);
+    handle_leaving(context, heartbeat.leaving);
+}
+
+/// Treats targets as draining that have announced in a response to another instance that they are
+/// about to stop.
+pub fn handle_leaving(context: &Context, leaving: impl IntoIterator<Item = WireIncarnation>) {
+    for target in leaving {
+        leaving_targets::record(context, &target.into(), "response to another instance");
+    }
+}
+
+/// Returns the targets that have recently announced that they are about to stop.
+fn recent_leaving(context: &Context) -> Vec<WireIncarnation> {
+    let recent = context.leaving_targets.borrow().recent(Instant::now());
+    recent.iter().map(WireIncarnation::from).collect()
 }
 
 /// Replaces the membership by the one that the leader sent.
@@ -77,6 +92,7 @@
         .observe_timestamp(HybridTimestamp::from(report.timestamp));
     context.update_reported_version(report.config_version);
     let is_current = report.membership_hash == context.membership.borrow().hash();
+    handle_leaving(context, report.leaving.clone());
     leader_loop::apply_report(context, from, report);
     if context.is_leader() && !is_current {
         let text = context.membership.borrow().to_text();
@@ -98,6 +114,7 @@
             config_version: context.operator_version.get(),
             key_counts: take_key_counts(&context),
             service_times: permits::service_times(&context),
+            leaving: recent_leaving(&context),
         };
         match context.leader_address.get() {
             // The leader handles its own report without sending it.
@@ -129,6 +146,7 @@
         membership_hash: membership.hash(),
         config_version: context.operator_version.get(),
         target_update: target_updates::next_message(context),
+        leaving: recent_leaving(context),
     });
     let own = context.settings.listen.heartbeats;
     let others = membership.members().iter().map(|it| it.address);
--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -33,6 +33,10 @@
     /// From an instance to the leader, periodically.
     #[serde(rename = "r")]
     Report(InstanceReport),
+    /// From an instance to the leader: a target has announced in a response that it is about to
+    /// stop.
+    #[serde(rename = "e")]
+    TargetLeaving(WireIncarnation),
     /// Asks a pool's coordinator for a permit to send a request to a target.
     #[serde(rename = "a")]
     PermitRequest {
@@ -100,6 +104,9 @@
         /// Slowdown that the target reported with its response.
         #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
         slowdown: Option<f64>,
+        /// Milliseconds for which the target wants no requests from the sender.
+        #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+        quiet_ms: Option<u64>,
     },
 }
 
@@ -127,6 +134,9 @@
     /// Recent changes of targets, or a confirmation that there are none.
     #[serde(rename = "t")]
     pub target_update: TargetUpdateMessage,
+    /// Targets that have recently announced in their responses that they are about to stop.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<WireIncarnation>,
 }
 
 /// Load and state of an instance, sent to the leader.
@@ -153,8 +163,15 @@
     /// Service times in milliseconds of the targets whose pools the instance coordinates.
     #[serde(rename = "p")]
     pub service_times: BTreeMap<Name, u32>,
+    /// Targets that have recently announced in their responses that they are about to stop.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<WireIncarnation>,
 }
 
+/// Id and incarnation of a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireIncarnation(Name, u64);
+
 /// Version of a service's recorded assignments, with a recent change or with all of them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct AssignmentUpdate {
@@ -177,6 +194,19 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireAssignment(u16, u16, Option<(Name, u64)>, u64);
 
+impl From<&TargetIncarnation> for WireIncarnation {
+    fn from(target: &TargetIncarnation) -> Self {
+        Self(target.id.clone(), target.incarnation)
+    }
+}
+
+impl From<WireIncarnation> for TargetIncarnation {
+    fn from(wire: WireIncarnation) -> Self {
+        let WireIncarnation(id, incarnation) = wire;
+        Self { id, incarnation }
+    }
+}
+
 impl From<&Assignment> for WireAssignment {
     fn from(assignment: &Assignment) -> Self {
         let owner = assignment
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -4,27 +4,33 @@
     crate::serve::{
         counter_guard::CounterGuard,
         request::CallerRequest,
+        response_memory::ResponseMemory,
         target_connections::{ConnectError, Connection, TargetConnections},
     },
     bytes::Bytes,
-    cowslip_adapter::headers::{self, ResponseMetadata},
+    cowslip_adapter::{
+        headers::{self, ResponseMetadata},
+        interim_responses::InterimResponses,
+    },
     cowslip_decide::names::Name,
     http::{HeaderMap, HeaderValue, Response, StatusCode, header},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::body::Incoming,
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, timeout_at},
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// Body of every request to a target.
 pub type RequestBody = Full<Bytes>;
 
-/// Size of the largest response body that is passed on.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
 /// Time after the deadline for which the response to a non-idempotent request is awaited, as the
 /// target may still report whether the request ran.
 const RESPONSE_GRACE: Duration = Duration::from_millis(120);
 
+/// Time within which the body of a refusal has to be complete, so that its connection can be used
+/// again; the outcome is known without the body.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Complete response of a target.
 #[derive(Clone, Debug)]
 pub struct TargetResponse {
@@ -69,6 +75,7 @@
 
 /// Sends a request to a target on an idle or new connection and waits for the complete response.
 pub async fn send_request(
+    memory: &ResponseMemory,
     connections: Rc<TargetConnections>,
     target: Name,
     request: Rc<CallerRequest>,
@@ -99,7 +106,7 @@
         };
         match timeout_at(
             response_deadline,
-            send_on_connection(active, message, &request),
+            send_on_connection(memory, active, message, &request),
         )
         .await
         {
@@ -144,71 +151,93 @@
 
 /// Sends a request on a connection; returns `None` if it was closed before anything was sent.
 async fn send_on_connection(
+    memory: &ResponseMemory,
     mut active: ActiveConnection<'_>,
-    message: http::Request<RequestBody>,
+    mut message: http::Request<RequestBody>,
     request: &CallerRequest,
 ) -> Option<ExchangeOutcome> {
     let sender = &mut active.connection.as_mut()?.sender;
     if sender.ready().await.is_err() {
         return None;
     }
-    let response = match sender.try_send_request(message).await {
-        Ok(response) => response,
-        Err(mut error) => {
-            return match error.take_message() {
-                Some(_) => None,
-                None => Some(ExchangeOutcome::Broken(
-                    "connection closed before the response",
-                )),
-            };
+    let interim = InterimResponses::count(&mut message);
+    let sent = tokio::select! {
+        sent = sender.try_send_request(message) => sent,
+        () = interim.exceeded() => {
+            return Some(ExchangeOutcome::Broken("too many interim responses"));
         }
     };
+    match sent {
+        Ok(response) => Some(receive_response(memory, active, response, request).await),
+        Err(mut error) => match error.take_message() {
+            Some(_) => None,
+            None => Some(ExchangeOutcome::Broken(
+                "connection closed before the response",
+            )),
+        },
+    }
+}
+
+/// Reads the rest of a response and keeps its connection for reuse.
+async fn receive_response(
+    memory: &ResponseMemory,
+    mut active: ActiveConnection<'_>,
+    response: Response<Incoming>,
+    request: &CallerRequest,
+) -> ExchangeOutcome {
     let metadata = headers::parse_response_head(response.status(), response.headers());
-    if !headers::has_request_id(response.headers(), &request.id) && !metadata.not_executed {
-        return Some(ExchangeOutcome::Broken("response to another request"));
+    let target = active.target_connections;
+    target.record_notices(&metadata, Instant::now());
+    // A refusal may lack the id, but one with another id is a late response to another request.
+    let is_other = match metadata.not_executed {
+        true => headers::has_other_request_id(response.headers(), &request.id),
+        false => !headers::has_request_id(response.headers(), &request.id),
+    };
+    if is_other {
+        return ExchangeOutcome::Broken("response to another request");
     }
     if let Some(load) = metadata.load {
-        active
-            .target_connections
-            .load
-            .set(Some((load, Instant::now())));
+        target.load.set(Some((load, Instant::now())));
     }
-    let complete = read_response(response).await;
-    let Some(complete) = complete else {
-        return Some(match metadata.not_executed {
+    let body_timeout = match metadata.not_executed {
+        true => REFUSAL_BODY_TIMEOUT,
+        // The caller of this function sets the limit.
+        false => Duration::MAX,
+    };
+    let complete = timeout(body_timeout, read_response(memory, response)).await;
+    let Some(complete) = complete.ok().flatten() else {
+        return match metadata.not_executed {
             true => ExchangeOutcome::NotExecuted(metadata),
             false => ExchangeOutcome::Broken("response truncated or too long"),
-        });
+        };
     };
     if let Some(connection) = active.connection.take() {
         match metadata.closes_connection {
-            true => active.target_connections.count_closed(),
-            false => active
-                .target_connections
-                .return_idle(connection, metadata.keep_alive),
+            true => target.count_closed(),
+            false => target.return_idle(connection, metadata.keep_alive),
         }
     }
     if metadata.not_executed {
-        return Some(ExchangeOutcome::NotExecuted(metadata));
+        return ExchangeOutcome::NotExecuted(metadata);
     }
     if complete.status.is_success() && !metadata.signed {
-        return Some(ExchangeOutcome::Broken("response without a signature"));
+        return ExchangeOutcome::Broken("response without a signature");
     }
-    Some(ExchangeOutcome::Completed(complete))
+    ExchangeOutcome::Completed(complete)
 }
 
 /// Reads the complete response; returns `None` if it is truncated or too long.
-async fn read_response(response: Response<Incoming>) -> Option<TargetResponse> {
+async fn read_response(
+    memory: &ResponseMemory,
+    response: Response<Incoming>,
+) -> Option<TargetResponse> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .ok()?;
+    let body = memory.read_body(body).await?;
     let mut headers = headers::copy_end_to_end(&head.headers);
     headers.remove(header::CONTENT_LENGTH);
     Some(TargetResponse {
         status: head.status,
         headers,
-        body: body.to_bytes(),
+        body,
     })
 }
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -12,10 +12,12 @@
             target_connections::{ConnectError, TargetConnections},
             target_selection::{self, Selection, select_target},
         },
+        views::leaving_targets,
     },
     cowslip_decide::{
         attempts::{AttemptHistory, AttemptOutcome, FinalError, NextAction, RetryPolicy},
         names::Name,
+        owners::TargetIncarnation,
         permits::PermitOutcome,
         verdict::Reason,
     },
@@ -107,10 +109,14 @@
     request: &Rc<CallerRequest>,
     history: &mut AttemptHistory,
 ) -> Step {
+    let excluded = match target_selection::excluded_targets(context, request, &history.excluded) {
+        Ok(excluded) => excluded,
+        Err(wait) => return Step::Finish(overload_outcome(history, wait)),
+    };
     let (connections, target, permit) =
-        match permits::request_permit(context, request, None, &history.excluded).await {
+        match permits::request_permit(context, request, None, &excluded).await {
             PermitResult::Acquired(permit, target) => {
-                match target_selection::connections_if_available(context, &target) {
+                match target_selection::connections_if_available(context, request, &target) {
                     Some(connections) => (connections, target, Some(permit)),
                     None => {
                         history.exclude_target(target);
@@ -121,7 +127,7 @@
             PermitResult::Denied(wait) => return Step::Finish(overload_outcome(history, wait)),
             PermitResult::RoutingChanged => return Step::SelectAfter(Duration::ZERO),
             PermitResult::Unanswered => {
-                match target_selection::select_without_permit(context, request, &history.excluded) {
+                match target_selection::select_without_permit(context, request, &excluded) {
                     Ok((connections, target)) => (connections, target, None),
                     Err(wait) => return Step::Finish(overload_outcome(history, wait)),
                 }
@@ -160,27 +166,69 @@
     permit: Option<Permit>,
 ) -> ExchangeOutcome {
     let max_connections = connection_limit(context, request);
-    let exchange = exchange::send_request(
-        connections.clone(),
-        target.clone(),
-        request.clone(),
-        max_connections,
-    );
+    let (context, target) = (context.clone(), target.clone());
+    let request = request.clone();
+    let is_idempotent = request.route.idempotent;
     let attempt = async move {
-        let exchange_outcome = exchange.await;
+        let exchange_outcome = exchange::send_request(
+            &context.response_memory,
+            connections.clone(),
+            target.clone(),
+            request.clone(),
+            max_connections,
+        )
+        .await;
+        let quiet_time = apply_notices(&context, &request.service, &connections, &target);
         if let Some(permit) = permit {
             permit.outcome.set(permit_outcome(&exchange_outcome));
             permit.slowdown.set(connections.slowdown());
+            permit.quiet_time.set(quiet_time);
         }
         exchange_outcome
     };
-    if request.route.idempotent {
+    if is_idempotent {
         return attempt.await;
     }
     let joined = spawn_local(attempt).await;
     joined.unwrap_or(ExchangeOutcome::Broken("task of the attempt failed"))
 }
 
+/// Applies what a target has told about itself in its responses; returns the rest of the time for
+/// which it wants no requests from this instance.
+fn apply_notices(
+    context: &Context,
+    service: &Name,
+    connections: &TargetConnections,
+    target: &Name,
+) -> Option<Duration> {
+    let target = TargetIncarnation {
+        id: target.clone(),
+        incarnation: connections.incarnation,
+    };
+    if connections.is_leaving.get() {
+        leaving_targets::record(context, &target, "response to a request");
+    }
+    let now = Instant::now();
+    let end = connections.quiet_until.get().filter(|end| *end > now)?;
+    let mut quiet_targets = context.quiet_targets.borrow_mut();
+    if quiet_targets.record(service, &target, end, now) {
+        drop(quiet_targets);
+        record_quiet_period(context, &target, end - now);
+        // Requests that wait for a permit for this target are refused.
+        context.routing_changed.notify_waiters();
+    }
+    Some(end - now)
+}
+
+fn record_quiet_period(context: &Context, target: &TargetIncarnation, period: Duration) {
+    let fields = EventFields {
+        target: Some(target.id.clone()),
+        detail: Some(format!("for {} ms", period.as_millis())),
+        ..EventFields::default()
+    };
+    context.events.record(events::TARGET_QUIET, fields);
+}
+
 /// Returns the outcome to report to the coordinator of the pool.
 fn permit_outcome(outcome: &ExchangeOutcome) -> PermitOutcome {
     match outcome {
--- a/crates/cowslipcross/src/serve/permits.rs
+++ b/crates/cowslipcross/src/serve/permits.rs
@@ -12,7 +12,10 @@
     },
     cowslip_decide::{
         names::Name,
-        permits::{PermitOutcome, PermitReply, PermitRequest, PermitRequestId, Pool, PoolTarget},
+        permits::{
+            PermitOutcome, PermitReply, PermitReport, PermitRequest, PermitRequestId, Pool,
+            PoolTarget,
+        },
     },
     std::{
         cell::{Cell, RefCell},
@@ -73,6 +76,8 @@
     pub outcome: Cell<PermitOutcome>,
     /// Slowdown as last reported by the target.
     pub slowdown: Cell<Option<f64>>,
+    /// Time for which the target wants no requests from this instance.
+    pub quiet_time: Cell<Option<Duration>>,
 }
 
 /// Result of a permit request.
@@ -93,6 +98,7 @@
             number: self.number,
             outcome: encode_outcome(self.outcome.get()),
             slowdown: self.slowdown.get(),
+            quiet_ms: self.quiet_time.get().map(|it| it.as_millis() as u64),
         };
         self.context
             .permits
@@ -167,6 +173,7 @@
         number,
         outcome: Cell::new(PermitOutcome::Unused),
         slowdown: Cell::new(None),
+        quiet_time: Cell::new(None),
     };
     (permit, pending)
 }
@@ -249,7 +256,15 @@
             number,
             outcome,
             slowdown,
-        } => handle_return(context, &(from, number), decode_outcome(outcome), slowdown),
+            quiet_ms,
+        } => {
+            let report = PermitReport {
+                outcome: decode_outcome(outcome),
+                slowdown,
+                quiet_time: quiet_ms.map(Duration::from_millis),
+            };
+            handle_return(context, &(from, number), report);
+        }
         Message::PermitGranted { number, target } => {
             store_reply(context, number, PermitReply::Granted(target))
         }
@@ -299,12 +314,7 @@
 }
 
 /// Frees the slot of a returned permit, or removes the request for it, and grants queued requests.
-fn handle_return(
-    context: &Context,
-    id: &PermitRequestId<SocketAddr>,
-    outcome: PermitOutcome,
-    slowdown: Option<f64>,
-) {
+fn handle_return(context: &Context, id: &PermitRequestId<SocketAddr>, report: PermitReport) {
     let Some(pool_key) = context.permits.pool_keys.borrow_mut().remove(id) else {
         return;
     };
@@ -313,7 +323,7 @@
     let Some(pool) = pools.get_mut(&pool_key) else {
         return;
     };
-    pool.finish_request(id, outcome, slowdown, now);
+    pool.finish_request(id, report, now);
     let replies = if pool.queue_length() > 0 {
         pool.process_queue(now)
     } else {
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::serve::exchange::RequestBody,
-    cowslip_adapter::{headers::Load, targets::TargetReport},
+    cowslip_adapter::{
+        headers::{Load, ResponseMetadata},
+        http_client::MAX_READ_BUFFER_BYTES,
+        targets::TargetReport,
+    },
     cowslip_decide::{limits::TokenBucket, service_time::ServiceTime},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
@@ -68,6 +72,10 @@
     pub cold_tokens: RefCell<TokenBucket>,
     /// End of the time for which the target is avoided.
     pub avoid_until: Cell<Option<Instant>>,
+    /// End of the time for which the target wants no requests from this instance.
+    pub quiet_until: Cell<Option<Instant>>,
+    /// Whether the target has announced in a response that it is about to stop.
+    pub is_leaving: Cell<bool>,
     idle: RefCell<Vec<Connection>>,
     open_count: Cell<u32>,
 }
@@ -89,6 +97,8 @@
             service_time: Cell::default(),
             cold_tokens: RefCell::new(TokenBucket::new(rand::random(), now)),
             avoid_until: Cell::new(None),
+            quiet_until: Cell::new(None),
+            is_leaving: Cell::new(false),
             idle: RefCell::default(),
             open_count: Cell::new(0),
         }
@@ -104,6 +114,15 @@
         self.avoid_until.get().is_some_and(|until| until > now)
     }
 
+    /// Records what a response tells about the target itself.
+    pub fn record_notices(&self, metadata: &ResponseMetadata, now: Instant) {
+        if metadata.leaving {
+            self.is_leaving.set(true);
+        }
+        let end = metadata.quiet_period.map(|period| now + period);
+        self.quiet_until.set(self.quiet_until.get().max(end));
+    }
+
     /// Drops idle connections that are closed or past their timeout; returns one of the others.
     pub fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -174,7 +193,9 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let (sender, driver) = http1::handshake(TokioIo::new(stream))
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     // An error of the connection is also reported by the sender.
--- a/crates/cowslipcross/src/serve/target_selection.rs
+++ b/crates/cowslipcross/src/serve/target_selection.rs
@@ -98,18 +98,64 @@
     {
         return Selection::Wait(RESELECT_INTERVAL);
     }
+    if let Some(wait) = quiet_time(context, view, now) {
+        return Selection::Refuse(wait);
+    }
     Selection::Owner(connections_to(context, view, now), view.report.id.clone())
 }
 
+/// Returns the rest of the time for which a target wants no requests from this instance.
+fn quiet_time(context: &Context, view: &TargetView, now: Instant) -> Option<Duration> {
+    let quiet_targets = context.quiet_targets.borrow();
+    quiet_targets.remaining(&view.report.service, &view.target_incarnation(), now)
+}
+
+/// Returns the targets of an unsharded service that must not get a request: those in `excluded` and
+/// those that want no requests from this instance.
+///
+/// # Errors
+/// Returns the time after which a retry may succeed if the only targets left want no requests now.
+pub fn excluded_targets(
+    context: &Context,
+    request: &CallerRequest,
+    excluded: &[Name],
+) -> Result<Vec<Name>, Duration> {
+    let now = Instant::now();
+    let quiet = context
+        .quiet_targets
+        .borrow()
+        .for_service(&request.service, now);
+    if quiet.is_empty() {
+        return Ok(excluded.to_vec());
+    }
+    let targets = context.targets.borrow();
+    let others = targets
+        .for_service(&request.service)
+        .filter(|view| !excluded.contains(&view.report.id) && is_available(context, view, now));
+    let waits: Option<Vec<Duration>> = others.map(|view| quiet_time(context, view, now)).collect();
+    match waits.and_then(|waits| waits.into_iter().min()) {
+        Some(wait) => Err(wait),
+        None => Ok([excluded, &quiet].concat()),
+    }
+}
+
 /// Returns the connections to a target of an unsharded service; `None` if it may get no new work.
 ///
-/// The coordinator that chose the target may not know yet that it is draining or withdrawn.
-pub fn connections_if_available(context: &Context, target: &Name) -> Option<Rc<TargetConnections>> {
+/// The coordinator that chose the target may not know yet that it is draining or withdrawn, or wants
+/// no requests from this instance.
+pub fn connections_if_available(
+    context: &Context,
+    request: &CallerRequest,
+    target: &Name,
+) -> Option<Rc<TargetConnections>> {
     let now = Instant::now();
     let targets = context.targets.borrow();
     let view = targets
         .get(target)
-        .filter(|view| is_available(context, view, now))?;
+        .filter(|view| view.report.service == request.service)
+        .filter(|view| {
+            is_available(context, view, now) && quiet_time(context, view, now).is_none()
+        })?;
     Some(connections_to(context, view, now))
 }
 
--- a/crates/cowslipcross/src/views.rs
+++ b/crates/cowslipcross/src/views.rs
@@ -1,6 +1,7 @@
 //! The instance's local copies of the operators' configuration and of the targets' reports.
 
 pub mod config;
+pub mod leaving_targets;
 mod store_health;
 pub mod target_snapshot;
 pub mod target_updates;
--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -4,7 +4,7 @@
     crate::views::target_updates::{TargetChanges, TargetUpdateMessage},
     cowslip_adapter::targets::TargetReport,
     cowslip_decide::{names::Name, owners::TargetIncarnation},
-    std::{collections::BTreeMap, rc::Rc, time::Duration},
+    std::{collections::BTreeMap, iter, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -15,6 +15,8 @@
 const REPORT_GRACE_PERIOD: Duration = Duration::from_millis(2300);
 /// A report that postpones the end of a target's cold time by no more than this is no change.
 const COLD_TOLERANCE: Duration = Duration::from_millis(500);
+/// Time for which an incarnation is remembered as draining; no target takes longer to stop.
+const DRAINING_MEMORY: Duration = Duration::from_secs(3600);
 
 /// A target as last reported, with the local times of its changes.
 #[derive(Clone, Debug)]
@@ -33,6 +35,9 @@
 #[derive(Clone, Debug)]
 pub struct TargetSnapshot {
     views: BTreeMap<Name, TargetView>,
+    /// When each incarnation was first known to drain. An incarnation never stops draining, even if
+    /// a later report says so or its report was missing for some time.
+    draining: Rc<BTreeMap<TargetIncarnation, Instant>>,
     /// Store version up to which all reports are included.
     store_version: u64,
     /// Version of the store at the last change.
@@ -60,6 +65,7 @@
     pub fn empty() -> Self {
         Self {
             views: BTreeMap::new(),
+            draining: Rc::default(),
             store_version: 0,
             changed_version: 0,
             confirmed_at: None,
@@ -132,8 +138,10 @@
             true => self.changed_version,
             false => version,
         };
+        let draining = self.draining_after(&changes, now);
         let next = Self {
-            views: self.apply_changes(&changes, now),
+            views: self.apply_changes(&changes, &draining, now),
+            draining,
             store_version: version.max(self.store_version),
             changed_version: changed_version.max(self.changed_version),
             confirmed_at: self.confirmed_at.max(Some(sent_at)),
@@ -164,8 +172,10 @@
         if self.confirmed_at.is_none() || changes.is_empty() || self.store_version < base_version {
             return UpdateResult::Missed;
         }
+        let draining = self.draining_after(&changes, now);
         UpdateResult::Changed(Self {
-            views: self.apply_changes(&changes, now),
+            views: self.apply_changes(&changes, &draining, now),
+            draining,
             store_version: version,
             changed_version: version,
             confirmed_at,
@@ -173,12 +183,54 @@
         })
     }
 
-    fn apply_changes(&self, changes: &TargetChanges, now: Instant) -> BTreeMap<Name, TargetView> {
+    /// Returns the snapshot after an incarnation has announced by other means than its report that
+    /// it is about to stop; `None` if it was known to drain.
+    pub fn with_draining(&self, target: &TargetIncarnation, now: Instant) -> Option<Self> {
+        if self.draining.contains_key(target) {
+            return None;
+        }
+        let draining = add_draining(&self.draining, iter::once(target.clone()), now);
+        let mut views = self.views.clone();
+        if let Some(view) = views
+            .get_mut(&target.id)
+            .filter(|it| it.report.incarnation == target.incarnation)
+        {
+            view.draining_since = Some(now);
+        }
+        Some(Self {
+            views,
+            draining,
+            ..self.clone()
+        })
+    }
+
+    /// Returns the draining incarnations after changes of reports.
+    fn draining_after(
+        &self,
+        changes: &TargetChanges,
+        now: Instant,
+    ) -> Rc<BTreeMap<TargetIncarnation, Instant>> {
+        let reported = changes.values().flatten().filter(|it| it.draining);
+        let reported: Vec<TargetIncarnation> = reported.map(target_incarnation).collect();
+        match reported.is_empty() {
+            true => self.draining.clone(),
+            false => add_draining(&self.draining, reported.into_iter(), now),
+        }
+    }
+
+    fn apply_changes(
+        &self,
+        changes: &TargetChanges,
+        draining: &BTreeMap<TargetIncarnation, Instant>,
+        now: Instant,
+    ) -> BTreeMap<Name, TargetView> {
         let mut views = self.views.clone();
         for (id, report) in changes {
             match report {
                 Some(report) => {
-                    let next = TargetView::new(report.clone(), self.views.get(id), now);
+                    let draining_since = draining.get(&target_incarnation(report)).copied();
+                    let previous = self.views.get(id);
+                    let next = TargetView::new(report.clone(), draining_since, previous, now);
                     views.insert(id.clone(), next);
                 }
                 None => drop(views.remove(id)),
@@ -202,10 +254,13 @@
 }
 
 impl TargetView {
-    fn new(report: TargetReport, previous: Option<&Self>, now: Instant) -> Self {
+    fn new(
+        report: TargetReport,
+        draining_since: Option<Instant>,
+        previous: Option<&Self>,
+        now: Instant,
+    ) -> Self {
         let previous = previous.filter(|it| it.report.incarnation == report.incarnation);
-        let drain_start = previous.and_then(|it| it.draining_since);
-        let draining_since = report.draining.then(|| drain_start.unwrap_or(now));
         let cold_until =
             (report.cold_remaining > Duration::ZERO).then(|| now + report.cold_remaining);
         Self {
@@ -218,10 +273,7 @@
 
     /// Returns the id and incarnation of the target.
     pub fn target_incarnation(&self) -> TargetIncarnation {
-        TargetIncarnation {
-            id: self.report.id.clone(),
-            incarnation: self.report.incarnation,
-        }
+        target_incarnation(&self.report)
     }
 
     /// Returns whether the target is still cold.
@@ -229,3 +281,33 @@
         self.cold_until.is_some_and(|until| until > now)
     }
 }
+
+fn target_incarnation(report: &TargetReport) -> TargetIncarnation {
+    TargetIncarnation {
+        id: report.id.clone(),
+        incarnation: report.incarnation,
+    }
+}
+
+/// Returns the draining incarnations with further ones, without those known for longer than
+/// [`DRAINING_MEMORY`].
+fn add_draining(
+    known: &BTreeMap<TargetIncarnation, Instant>,
+    added: impl Iterator<Item = TargetIncarnation>,
+    now: Instant,
+) -> Rc<BTreeMap<TargetIncarnation, Instant>> {
+    let is_recent = |since: &Instant| now.saturating_duration_since(*since) < DRAINING_MEMORY;
+    let mut draining: BTreeMap<_, _> = known
+        .iter()
+        .filter(|(_, since)| is_recent(since))
+        .map(|(target, since)| (target.clone(), *since))
+        .collect();
+    for target in added {
+        draining.entry(target).or_insert(now);
+    }
+    Rc::new(draining)
+}
+
+#[cfg(test)]
+#[path = "target_snapshot_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/cowslipcross/src/views/target_snapshot_tests.rs
@@ -0,0 +1,84 @@
+//! Targets that drain, and reports that are missing or contradict earlier ones.
+
+use {
+    super::TargetSnapshot,
+    cowslip_adapter::targets::TargetReport,
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::Instant,
+};
+
+fn report(incarnation: u64, draining: bool) -> TargetReport {
+    TargetReport {
+        id: "a".into(),
+        service: "boards".into(),
+        address: SocketAddr::from(([10, 1, 0, 1], 8500)),
+        data_centre: "west".into(),
+        slots: 2,
+        draining,
+        cold_remaining: Duration::ZERO,
+        incarnation,
+    }
+}
+
+fn read(
+    snapshot: &TargetSnapshot,
+    reports: Vec<TargetReport>,
+    version: u64,
+    now: Instant,
+) -> TargetSnapshot {
+    snapshot.with_reports(reports, version, (now, now)).0
+}
+
+fn is_draining(snapshot: &TargetSnapshot) -> bool {
+    snapshot
+        .get("a")
+        .is_some_and(|it| it.draining_since.is_some())
+}
+
+#[test]
+fn a_target_that_announced_its_stop_drains_whatever_its_report_says() {
+    let start = Instant::now();
+    let snapshot = read(&TargetSnapshot::empty(), vec![report(1, false)], 5, start);
+    let target = snapshot.get("a").expect("a target").target_incarnation();
+    let marked = snapshot
+        .with_draining(&target, start)
+        .expect("news to the snapshot");
+    assert!(is_draining(&marked));
+    assert!(marked.with_draining(&target, start).is_none());
+    let later = start + Duration::from_millis(600);
+    let same = read(&marked, vec![report(1, false)], 6, later);
+    assert!(is_draining(&same));
+    // The report is missing for a while and comes back.
+    let missing = read(&same, vec![], 7, later + Duration::from_millis(600));
+    assert!(missing.get("a").is_none());
+    let back = read(
+        &missing,
+        vec![report(1, false)],
+        8,
+        later + Duration::from_millis(1200),
+    );
+    assert!(is_draining(&back));
+    // The next process under the same id is not concerned.
+    let next = read(
+        &back,
+        vec![report(2, false)],
+        9,
+        later + Duration::from_millis(1800),
+    );
+    assert!(!is_draining(&next));
+}
+
+#[test]
+fn a_target_that_reported_that_it_drains_does_not_take_new_work_again() {
+    let start = Instant::now();
+    let draining = read(&TargetSnapshot::empty(), vec![report(1, true)], 5, start);
+    assert!(is_draining(&draining));
+    // An older copy of the report is read, as after the restoration of a backup of the store.
+    let later = start + Duration::from_millis(600);
+    assert!(is_draining(&read(
+        &draining,
+        vec![report(1, false)],
+        6,
+        later
+    )));
+}
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -107,6 +107,13 @@
     }
 }
 
+/// Replaces the snapshot by one in which a target was marked as draining.
+pub fn replace_marked(context: &Context, next: TargetSnapshot) {
+    *context.targets.borrow_mut() = Rc::new(next);
+    context.routing_changed.notify_waiters();
+    context.leader_work.notify_one();
+}
+
 /// Replaces the snapshot and records what has changed.
 fn replace_snapshot(context: &Context, previous: &TargetSnapshot, next: TargetSnapshot) {
     let changed = record_changes(context, previous, &next);
--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -132,6 +132,16 @@
         None
     }
 
+    /// Returns the most memory that the process has used so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kibibytes = peak.and_then(|text| text.trim().strip_suffix(" kB"));
+        let kibibytes: Option<u64> = kibibytes.and_then(|text| text.parse().ok());
+        1024 * kibibytes.expect("a peak in kB")
+    }
+
     /// Returns whether the readiness probe succeeds.
     pub async fn is_ready(&self) -> bool {
         let response = fetch(self.readiness, "/-/ready").await;
--- a/crates/decide/src/permits.rs
+++ b/crates/decide/src/permits.rs
@@ -77,6 +77,17 @@
     Broken,
 }
 
+/// What an instance tells the coordinator when it returns a permit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PermitReport {
+    /// How the request ended.
+    pub outcome: PermitOutcome,
+    /// Slowdown that the target reported with its response.
+    pub slowdown: Option<f64>,
+    /// Time for which the target wants no requests from that instance.
+    pub quiet_time: Option<Duration>,
+}
+
 /// What the coordinator is told about a target of the pool.
 #[derive(Clone, Debug)]
 pub struct PoolTarget {
@@ -106,6 +117,8 @@
     connect_pause: Option<Instant>,
     /// End of the pause after a shed request.
     shed_pause: Option<Instant>,
+    /// Instances from which the target wants no requests, with the ends of these times.
+    quiet_periods: BTreeMap<A, Instant>,
     cold_tokens: Option<TokenBucket>,
 }
 
@@ -140,6 +153,7 @@
                     slowdown: None,
                     connect_pause: None,
                     shed_pause: None,
+                    quiet_periods: BTreeMap::new(),
                     cold_tokens: None,
                 });
             target.info = info.clone();
@@ -192,7 +206,7 @@
             .filter(|(_, it)| it.priority <= request.priority);
         let ahead = ahead.count();
         if ahead == 0
-            && let Some(target) = self.choose_target(&request, now)
+            && let Some(target) = self.choose_target(&id.0, &request, now)
         {
             self.add_permit(id, &request, &target, now);
             return PermitReply::Granted(target);
@@ -205,19 +219,11 @@
     }
 
     /// Removes a request that has ended or is no longer waiting, and its permit if it has one.
-    ///
-    /// `slowdown` is what the target reported with its response.
-    pub fn finish_request(
-        &mut self,
-        id: &PermitRequestId<A>,
-        outcome: PermitOutcome,
-        slowdown: Option<f64>,
-        now: Instant,
-    ) {
+    pub fn finish_request(&mut self, id: &PermitRequestId<A>, report: PermitReport, now: Instant) {
         self.queue.retain(|(queued, _)| queued != id);
         for target in self.targets.values_mut() {
             if let Some(permit) = target.permits.remove(id) {
-                target.record_outcome(outcome, now - permit.granted_at, slowdown, now);
+                target.record_report(&id.0, report, now - permit.granted_at, now);
             }
         }
     }
@@ -240,12 +246,12 @@
         });
         let mut index = 0;
         while index < self.queue.len() {
-            let request = self.queue[index].1.clone();
-            let Some(target) = self.choose_target(&request, now) else {
+            let (id, request) = self.queue[index].clone();
+            let Some(target) = self.choose_target(&id.0, &request, now) else {
                 index += 1;
                 continue;
             };
-            let (id, _) = self.queue.remove(index);
+            self.queue.remove(index);
             self.add_permit(id.clone(), &request, &target, now);
             replies.push((id, PermitReply::Granted(target)));
         }
@@ -292,13 +298,21 @@
         }
     }
 
-    /// Returns the target that may get the request and is expected to answer it first. Cold targets
-    /// are chosen only if the pool has no warm one, each up to its cold rate and its slots.
-    fn choose_target(&mut self, request: &PermitRequest, now: Instant) -> Option<Name> {
+    /// Returns the target that may get the request of `instance` and is expected to answer it first.
+    /// Cold targets are chosen only if the pool has no warm one, each up to its cold rate and its
+    /// slots.
+    fn choose_target(
+        &mut self,
+        instance: &A,
+        request: &PermitRequest,
+        now: Instant,
+    ) -> Option<Name> {
         let mean = self.mean_service_time();
         let has_queue = !self.queue.is_empty();
         let accepts = |(name, target): &(&Name, &TargetState<A>)| {
-            !request.excluded.contains(name) && target.can_accept(has_queue, now)
+            !request.excluded.contains(name)
+                && target.can_accept(has_queue, now)
+                && !target.is_quiet(instance, now)
         };
         let cost = |target: &TargetState<A>| target.cost(request, mean, now);
         let warm = self.targets.iter().filter(accepts);
@@ -312,8 +326,11 @@
             return None;
         }
         let cold = self.targets.iter_mut();
-        let cold =
-            cold.filter(|(name, it)| !request.excluded.contains(name) && it.can_accept(false, now));
+        let cold = cold.filter(|(name, it)| {
+            !request.excluded.contains(name)
+                && it.can_accept(false, now)
+                && !it.is_quiet(instance, now)
+        });
         for (name, target) in cold {
             let rate = target.info.cold_rate.unwrap_or_default();
             let tokens = target.cold_tokens.as_mut()?;
@@ -373,6 +390,12 @@
         (self.permits.len() as u32) < self.info.slots + extra
     }
 
+    /// Returns whether the target wants no requests from an instance now.
+    fn is_quiet(&self, instance: &A, now: Instant) -> bool {
+        let end = self.quiet_periods.get(instance);
+        end.is_some_and(|end| *end > now)
+    }
+
     /// Returns the expected response time in seconds; `mean` stands in for a service time that is
     /// not known yet.
     fn cost(&self, request: &PermitRequest, mean: f64, now: Instant) -> f64 {
@@ -390,17 +413,20 @@
         estimate.response_time()
     }
 
-    fn record_outcome(
-        &mut self,
-        outcome: PermitOutcome,
-        time: Duration,
-        slowdown: Option<f64>,
-        now: Instant,
-    ) {
-        if let Some(slowdown) = slowdown {
+    /// Applies what `instance` reports about a request that took `time`.
+    fn record_report(&mut self, instance: &A, report: PermitReport, time: Duration, now: Instant)
+    where
+        A: Clone,
+    {
+        if let Some(slowdown) = report.slowdown {
             self.slowdown = Some((slowdown, now));
         }
-        match outcome {
+        if let Some(quiet_time) = report.quiet_time {
+            self.quiet_periods.retain(|_, end| *end > now);
+            self.quiet_periods
+                .insert(instance.clone(), now + quiet_time);
+        }
+        match report.outcome {
             PermitOutcome::Served => {
                 self.service_time.record(time);
                 self.shed_pause = None;
--- a/crates/decide/tests/permits.rs
+++ b/crates/decide/tests/permits.rs
@@ -3,7 +3,10 @@
 use {
     cowslip_decide::{
         names::Name,
-        permits::{PermitOutcome, PermitReply, PermitRequest, PermitRequestId, Pool, PoolTarget},
+        permits::{
+            PermitOutcome, PermitReply, PermitReport, PermitRequest, PermitRequestId, Pool,
+            PoolTarget,
+        },
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{collections::BTreeMap, time::Duration},
@@ -38,6 +41,14 @@
     }
 }
 
+fn report(outcome: PermitOutcome) -> PermitReport {
+    PermitReport {
+        outcome,
+        slowdown: None,
+        quiet_time: None,
+    }
+}
+
 fn is_granted(reply: &PermitReply) -> bool {
     matches!(reply, PermitReply::Granted(_))
 }
@@ -53,7 +64,7 @@
     assert_eq!(replies.iter().filter(|it| is_granted(it)).count(), 2);
     assert_eq!(pool.process_queue(now).len(), 1);
     assert!(pool.process_queue(now).is_empty());
-    pool.finish_request(&(0, 0), PermitOutcome::Served, None, now + millis(50));
+    pool.finish_request(&(0, 0), report(PermitOutcome::Served), now + millis(50));
     assert_eq!(pool.process_queue(now + millis(50)).len(), 1);
     assert_eq!(pool.queue_length(), 2);
 }
@@ -106,8 +117,7 @@
     for finished in [0, 1, 2] {
         pool.finish_request(
             &(0, finished),
-            PermitOutcome::Served,
-            None,
+            report(PermitOutcome::Served),
             now + millis(100),
         );
         order.extend(
@@ -181,9 +191,9 @@
         let id = (1, tick);
         if is_granted(&pool.request_permit(id, permit_request(1, now, 50, 60), now)) {
             sent += 1;
-            pool.finish_request(&id, PermitOutcome::Served, None, now);
+            pool.finish_request(&id, report(PermitOutcome::Served), now);
         }
-        pool.finish_request(&id, PermitOutcome::Unused, None, now);
+        pool.finish_request(&id, report(PermitOutcome::Unused), now);
     }
     assert!(
         (5..=8).contains(&sent),
@@ -201,7 +211,7 @@
     else {
         panic!("no permit from a pool with free slots");
     };
-    pool.finish_request(&(0, 0), PermitOutcome::NotConnected, None, now);
+    pool.finish_request(&(0, 0), report(PermitOutcome::NotConnected), now);
     for number in 1..3 {
         let PermitReply::Granted(next) =
             pool.request_permit((0, number), permit_request(1, now, 500, 4000), now)
@@ -212,6 +222,26 @@
     }
 }
 
+#[test]
+fn a_target_that_wants_no_requests_from_an_instance_still_gets_those_of_others() {
+    let now = Instant::now();
+    let mut pool: Pool<u8> = Pool::default();
+    pool.update_targets(&pool_targets(&[("a", None)]), now);
+    let ask =
+        |pool: &mut Pool<u8>, id, at| pool.request_permit(id, permit_request(1, at, 500, 9000), at);
+    assert!(is_granted(&ask(&mut pool, (0, 0), now)));
+    let refused = PermitReport {
+        quiet_time: Some(millis(2000)),
+        ..report(PermitOutcome::Shed)
+    };
+    pool.finish_request(&(0, 0), refused, now);
+    let later = now + millis(1000);
+    assert_eq!(ask(&mut pool, (0, 1), later), PermitReply::Queued);
+    assert!(pool.process_queue(later).is_empty());
+    assert!(is_granted(&ask(&mut pool, (1, 0), later)));
+    assert_eq!(pool.process_queue(now + millis(2000)).len(), 1);
+}
+
 /// Simulates an overloaded target; returns the share of requests served within the latency goal, by
 /// priority. Without `has_priorities`, all requests ask with the same priority.
 fn simulate_overload(has_priorities: bool) -> [f64; 3] {
@@ -230,7 +260,7 @@
             let (_, id) = running.remove(0);
             let (priority, goal) = requests[&id];
             in_time[usize::from(priority)] += u32::from(now <= goal);
-            pool.finish_request(&id, PermitOutcome::Served, None, now);
+            pool.finish_request(&id, report(PermitOutcome::Served), now);
         }
         // Thirty requests a second to two slots of 100 ms, which serve twenty a second.
         if rng.random_bool(0.15) {
