feat(owners): a key that its owner cannot serve alone gets the fastest target

The rebalancing gives such a key to the least loaded target, which need not be a fast one, and leaves it there.

Change: before the rebalancing, keys that take over 0.9 of their owner's capacity alone move to the fastest target without a hot key, if that has at least 1.5 times the capacity; not again within 4 s.

--- a/crates/cowslipcross/src/lead/leader_loop.rs
+++ b/crates/cowslipcross/src/lead/leader_loop.rs
@@ -19,8 +19,8 @@
     cowslip_decide::{
         names::Name,
         owners::{
-            AssignmentManager, AssignmentTable, Candidate, CommandTiming, KeyLoads,
-            TargetCapacities, TargetIncarnation, rebalance,
+            AssignmentManager, AssignmentTable, Candidate, CommandTiming, HotKeyPlacer, KeyLoads,
+            TargetCapacities, TargetIncarnation, Transfer, rebalance,
         },
     },
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -100,6 +100,7 @@
     /// When this state was created; tells it from earlier ones of the same service.
     pub started_at: Instant,
     last_rebalance: Instant,
+    hot_keys: HotKeyPlacer,
     /// Number of targets that may own keys, and since when it has not changed; used only until the
     /// first owners are recorded.
     stable_targets: (usize, Instant),
@@ -153,6 +154,16 @@
 }
 
 impl PeerReports {
+    /// Returns the mean of the reported service times of targets; `None` if there are none.
+    fn mean_service_time(&self, targets: &TargetCapacities) -> Option<Duration> {
+        let times = targets
+            .keys()
+            .filter_map(|id| self.service_times.get(id).copied());
+        let times: Vec<u32> = times.collect();
+        let sum = Duration::from_millis(times.iter().map(|it| u64::from(*it)).sum());
+        (!sum.is_zero()).then(|| sum / times.len() as u32)
+    }
+
     /// Returns the loads of a service's keys.
     pub fn key_loads(&mut self, service: &Name) -> &mut KeyLoads {
         self.key_loads.entry(service.clone()).or_default()
@@ -338,6 +349,7 @@
         last_recording: None,
         started_at: now,
         last_rebalance: now,
+        hot_keys: HotKeyPlacer::default(),
         stable_targets: (0, now),
     };
     state.services.insert(name.clone(), service);
@@ -423,8 +435,19 @@
         return;
     }
     let mut reports = context.peer_reports.borrow_mut();
+    let service_time = reports.mean_service_time(capacities);
     let key_loads = reports.key_loads(name);
     key_loads.decay(now);
+    if let Some(service_time) = service_time {
+        let transfers = service.hot_keys.choose_transfers(
+            &service.manager.table(),
+            key_loads,
+            (capacities, service_time),
+            |assignment| !service.manager.is_settled(assignment.first),
+            now,
+        );
+        begin_transfers(&mut service.manager, &transfers, now);
+    }
     let transfers = rebalance(
         &service.manager.table(),
         key_loads,
@@ -432,11 +455,12 @@
         max_transfers(capacities.len()),
         |assignment| !service.manager.is_settled(assignment.first),
     );
+    begin_transfers(&mut service.manager, &transfers, now);
+}
+
+fn begin_transfers(manager: &mut AssignmentManager, transfers: &[Transfer], now: Instant) {
     for transfer in transfers {
-        let (first, last) = (transfer.first, transfer.last);
-        service
-            .manager
-            .start_transfer(first, last, &transfer.new_owner, now);
+        manager.start_transfer(transfer.first, transfer.last, &transfer.new_owner, now);
     }
 }
 
--- a/crates/decide/src/owners/rebalance.rs
+++ b/crates/decide/src/owners/rebalance.rs
@@ -66,6 +66,12 @@
         });
     }
 
+    /// Returns the keys that have got requests lately, with the requests per second.
+    pub fn request_rates(&self) -> impl Iterator<Item = (u16, f64)> {
+        let weights = self.weights.iter();
+        weights.map(|(key, weight)| (*key, weight / DECAY_TIME.as_secs_f64()))
+    }
+
     /// Returns the load of a range of keys, `last` included.
     pub fn range_load(&self, first: u16, last: u16) -> f64 {
         let counted: f64 = self
