--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -20,7 +20,7 @@
     cowslip_decide::{
         election::LeaderElection,
         limits::{RetryBudget, RetryWindow},
-        names::{Incarnation, Name},
+        names::{Incarnation, Name, StoreVersion},
         owners::{Assignment, AssignmentTable, PreviousLeaders, StoreTimeBound, TargetIncarnation},
         traffic_split::TrafficSplitter,
     },
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug)]
 pub struct RecordedAssignments {
     /// Version of the service's row in the store.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Recorded assignments.
     pub table: Rc<AssignmentTable>,
     /// Last change, kept for the heartbeats; `None` unless this instance recorded it as leader.
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug)]
 pub struct AssignmentChange {
     /// Version to which the change applies.
-    pub base_version: u64,
+    pub base_version: StoreVersion,
     /// Assignments that were added or replaced.
     pub assignments: Vec<Assignment>,
     /// When the store confirmed the write.
@@ -102,6 +102,13 @@
     pub target_store: Store,
     /// Store client for the router's own table (leader's row and assignments).
     pub router_store: Store,
+    /// Era of the store; `None` before its first response.
+    pub store_era: Cell<Option<u64>>,
+    /// When this instance learned that the store was restored from a backup.
+    pub restored_at: Cell<Option<Instant>>,
+    /// Time on the store's clock until which grants may be in force of which nothing is recorded
+    /// since the store was restored; `None` if there are none or the row was not read.
+    pub unknown_until: Cell<Option<Duration>>,
     /// Whether the store answered this instance's last call.
     pub store_reachable: Cell<bool>,
     /// Notified when the store answers again.
@@ -111,9 +118,9 @@
     /// When the store last confirmed that this instance has the latest operators' table.
     pub config_confirmed: Cell<Option<Instant>>,
     /// Highest version of a row of the operators' table that this instance has applied.
-    pub operator_version: Cell<u64>,
+    pub operator_version: Cell<StoreVersion>,
     /// Highest version of a row of the operators' table that another instance has reported.
-    reported_version: Cell<u64>,
+    reported_version: Cell<StoreVersion>,
     /// Notified when another instance has applied a change of the operators' table that this one
     /// has not read.
     pub config_stale: Notify,
@@ -157,7 +164,7 @@
     /// Version of the leader's row as last read, and the time on the store's clock after which no
     /// grant of its writer is in force. The time is `None` if the row does not tell it; all is
     /// `None` before the first read.
-    pub observed_row: Cell<Option<(u64, Option<Duration>)>>,
+    pub observed_row: Cell<Option<(StoreVersion, Option<Duration>)>>,
     /// Time on the store's clock after which no grant of the previous leader is in force, taken from
     /// [`Self::observed_row`] when this instance replaced that row to become leader. `None` if it is
     /// unknown, or if grants of this instance itself may last longer.
@@ -215,12 +222,15 @@
             watch_store: Store::new(settings.store),
             target_store: Store::new(settings.store),
             router_store: Store::new(settings.store),
+            store_era: Cell::new(None),
+            restored_at: Cell::new(None),
+            unknown_until: Cell::new(None),
             store_reachable: Cell::new(false),
             store_recovered: Notify::new(),
             write_lock: Mutex::new(()),
             config_confirmed: Cell::new(None),
-            operator_version: Cell::new(0),
-            reported_version: Cell::new(0),
+            operator_version: Cell::default(),
+            reported_version: Cell::default(),
             config_stale: Notify::new(),
             config: RefCell::default(),
             routes: RefCell::default(),
@@ -276,7 +286,7 @@
             .recorded_assignments
             .borrow()
             .get(service)
-            .map_or(0, |it| it.version);
+            .map_or(StoreVersion::NONE, |it| it.version);
         let age = self.targets.borrow().age(Instant::now());
         let age = age.map_or_else(
             || "never".into(),
@@ -293,6 +303,11 @@
         self.store_reachable.set(reachable);
     }
 
+    /// Returns the era of the store, 0 before its first response.
+    pub fn era(&self) -> u64 {
+        self.store_era.get().unwrap_or(0)
+    }
+
     /// Returns whether this instance's lease as leader is valid now.
     pub fn is_leader(&self) -> bool {
         self.election.borrow().is_leader(clock::local_time())
@@ -308,6 +323,7 @@
                 .borrow()
                 .store_timestamp()
                 .map(|it| it.store_time),
+            unknown_until: self.unknown_until.get(),
         }
     }
 
@@ -354,7 +370,7 @@
     }
 
     /// Records the version of the operators' table that another instance has applied.
-    pub fn update_reported_version(&self, version: u64) {
+    pub fn update_reported_version(&self, version: StoreVersion) {
         self.reported_version
             .set(version.max(self.reported_version.get()));
         if self.is_config_stale() {
--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -146,6 +146,9 @@
     616 RELEASE_STARTED Info FREQUENT_RATE; "release of keys {key} requested from target {target}: {detail}";
         "The leader takes keys back; the target replies when its work on them is done, and new requests for them wait.";
         "Nothing, if `CC0613` follows.";
+    617 STORE_RESTORED Warn None; "store restored from a backup: {detail}";
+        "The era of the store has risen: what was written last may be missing, and versions are given out again. Everything is read again.";
+        "Nothing, if `CC0608` follows on one instance; see the page on outages of the store.";
     701 UNSERVED Info FREQUENT_RATE; "request {request} unserved: {detail}";
         "The router answered a caller in place of a target, with a verdict and a reason.";
         "See the page on unserved requests.";
--- a/crates/cowslipcross/src/lead.rs
+++ b/crates/cowslipcross/src/lead.rs
@@ -6,4 +6,5 @@
 pub mod command_sender;
 pub mod leader_loop;
 pub mod leader_row;
+pub mod restoration;
 pub mod target_status;
--- a/crates/cowslipcross/src/lead/assignment_recorder.rs
+++ b/crates/cowslipcross/src/lead/assignment_recorder.rs
@@ -12,7 +12,7 @@
         },
     },
     cowslip_decide::{
-        names::Name,
+        names::{Name, StoreVersion},
         owners::{AssignmentTable, KeyLoads, TargetCapacities, TargetIncarnation, TargetsByLoad},
     },
     std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
@@ -106,7 +106,7 @@
             .borrow()
             .get(&self.name)
             .cloned();
-        let version = stored.as_ref().map_or(0, |it| it.version);
+        let version = stored.as_ref().map_or(StoreVersion::NONE, |it| it.version);
         let is_written = stored.is_some_and(|it| *it.table == *unconfirmed);
         let resolved = self.with_service(|service| {
             if version > service.recorded_version && !is_written {
@@ -154,7 +154,9 @@
 
     fn finish_recording(&self, table: &AssignmentTable) -> bool {
         let all_recorded = self.context.recorded_assignments.borrow();
-        let version = all_recorded.get(&self.name).map_or(0, |it| it.version);
+        let version = all_recorded
+            .get(&self.name)
+            .map_or(StoreVersion::NONE, |it| it.version);
         drop(all_recorded);
         let applied = self.with_service(|service| {
             service.manager.apply_recorded(table, Instant::now());
@@ -176,7 +178,7 @@
     name: &Name,
     statuses: &BTreeMap<Name, TargetStatus>,
     capacities: &TargetCapacities,
-) -> Option<(u64, AssignmentTable)> {
+) -> Option<(StoreVersion, AssignmentTable)> {
     let (ended, unanswered) = (
         service.manager.ended_incarnations(),
         service.manager.unanswered_owners(),
--- a/crates/cowslipcross/src/lead/assignment_rows_tests.rs
+++ b/crates/cowslipcross/src/lead/assignment_rows_tests.rs
@@ -5,7 +5,7 @@
     super::{AssignmentRowValue, encode},
     cowslip_adapter::store::{Row, RowWrite},
     cowslip_decide::{
-        names::Fence,
+        names::{Fence, StoreVersion},
         owners::{AssignmentTable, TargetIncarnation},
     },
     std::{
@@ -109,7 +109,7 @@
     Row {
         key: write.key,
         value: Some(write.value),
-        version: 1,
+        version: StoreVersion { era: 0, number: 1 },
     }
 }
 
--- a/crates/cowslipcross/src/lead/command_sender.rs
+++ b/crates/cowslipcross/src/lead/command_sender.rs
@@ -143,9 +143,10 @@
             CommandOutcome::Unsent
         }
         // A faulty target may send any other response although it has run the command.
-        Error::Rejected { .. } | Error::OutcomeUnknown(_) | Error::Malformed { .. } => {
-            CommandOutcome::Unknown
-        }
+        Error::Rejected { .. }
+        | Error::OutcomeUnknown(_)
+        | Error::Malformed { .. }
+        | Error::Restored { .. } => CommandOutcome::Unknown,
     }
 }
 
--- a/crates/cowslipcross/src/lead/leader_loop.rs
+++ b/crates/cowslipcross/src/lead/leader_loop.rs
@@ -17,7 +17,7 @@
         },
     },
     cowslip_decide::{
-        names::Name,
+        names::{Fence, Name, StoreVersion},
         owners::{
             AssignmentManager, AssignmentTable, Candidate, CommandTiming, HotKeyPlacer, KeyLoads,
             TargetCapacities, TargetIncarnation, Transfer, rebalance,
@@ -89,10 +89,10 @@
 pub struct ServiceState {
     /// State machine of the service's assignments.
     pub manager: AssignmentManager,
-    /// Version of the recorded assignments; 0 if there are none.
-    pub recorded_version: u64,
+    /// Version of the recorded assignments; none if there are none.
+    pub recorded_version: StoreVersion,
     /// Table whose write was not confirmed, and the version of the leader's row at that time.
-    pub unconfirmed_write: Option<(AssignmentTable, u64)>,
+    pub unconfirmed_write: Option<(AssignmentTable, StoreVersion)>,
     /// Whether a task is writing assignments or resolving an unconfirmed write.
     pub is_recording: bool,
     /// When the last such task started.
@@ -109,7 +109,7 @@
 impl ServiceState {
     /// Returns whether to wait for further targets before keys get their first owners.
     fn is_awaiting_targets(&mut self, count: usize, now: Instant) -> bool {
-        if self.recorded_version > 0 {
+        if !self.recorded_version.is_none() {
             return false;
         }
         if count != self.stable_targets.0 {
@@ -264,9 +264,9 @@
 /// Versions of the data whose changes heartbeats announce.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct AnnouncedVersions {
-    config: u64,
-    targets: u64,
-    owners: Vec<u64>,
+    config: StoreVersion,
+    targets: StoreVersion,
+    owners: Vec<StoreVersion>,
 }
 
 impl AnnouncedVersions {
@@ -327,10 +327,14 @@
     if state.services.contains_key(name) {
         return;
     }
+    let era = context.era();
     let recorded = context.recorded_assignments.borrow().get(name).cloned();
-    let table = recorded
+    // Assignments of an earlier era may have changed before the store was restored.
+    let recorded = recorded.filter(|it| it.version.era == era);
+    let mut table = recorded
         .as_ref()
         .map_or_else(AssignmentTable::default, |it| (*it.table).clone());
+    table.highest_fence = table.highest_fence.max(Fence::before_era(era));
     let ttl_limit = context.bounds.borrow().max_ttl;
     let timing = CommandTiming {
         ttl: GRANT_TTL.min(ttl_limit),
@@ -343,7 +347,7 @@
     };
     let service = ServiceState {
         manager: AssignmentManager::new(&table, timing, context.previous_leaders(), now),
-        recorded_version: recorded.map_or(0, |it| it.version),
+        recorded_version: recorded.map_or(StoreVersion::NONE, |it| it.version),
         unconfirmed_write: None,
         is_recording: false,
         last_recording: None,
--- a/crates/cowslipcross/src/lead/leader_row.rs
+++ b/crates/cowslipcross/src/lead/leader_row.rs
@@ -7,14 +7,18 @@
         events,
         lead::{
             assignment_rows::{self, AssignmentRowValue, OWNERS_PREFIX},
-            command_sender, leader_loop,
+            command_sender, leader_loop, restoration,
         },
         peers::{datagram, membership, message::Message},
+        views::store_era,
+    },
+    cowslip_adapter::{
+        Error,
+        store::{CommitOutcome, Row, RowSet, RowWrite, VersionCheck},
     },
-    cowslip_adapter::store::{CommitOutcome, ROUTER_TABLE, Row, RowSet, RowWrite, VersionCheck},
     cowslip_decide::{
         election::{ClaimDelay, ElectionAction, LeaderRow, LocalTime, StoreTimestamp},
-        names::Name,
+        names::{Name, StoreVersion},
         owners::{AssignmentTable, TargetIncarnation, max_grant_lifetime},
     },
     serde::{Deserialize, Serialize},
@@ -23,9 +27,9 @@
 };
 
 /// Key of the leader's row.
-const ROW_KEY: &str = "leader";
+pub const ROW_KEY: &str = "leader";
 /// Timeout of a call to the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(450);
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Longest time between two steps of the election.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two reads in search of a leader, while no heartbeats arrive.
@@ -73,6 +77,10 @@
     #[serde(rename = "granted")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     grants_expire: Option<u64>,
+    /// Milliseconds of the store's clock until which grants of an earlier era of the store may be in
+    /// force; absent if there are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    unknown_until: Option<u64>,
 }
 
 /// Longest wait for grants in flight before the row is released, and its polling interval.
@@ -140,7 +148,7 @@
             && reads.is_due(&context);
         let can_claim = paused_until <= Instant::now() && context.stopping_since.get().is_none();
         match action {
-            ElectionAction::Write { version } if can_claim => claim_row(&context, version).await,
+            ElectionAction::Write { version } if can_claim => write_row(&context, version).await,
             ElectionAction::Read if reads.is_due(&context) => {
                 reads.read(&context).await;
                 continue;
@@ -151,7 +159,8 @@
         if context.is_leader() && context.leader_since.get().is_none() {
             start_leading(&context).await;
         }
-        if context.leader_since.get().is_some() && !context.is_leader() {
+        let is_continuing = context.election.borrow().is_continuing();
+        if context.leader_since.get().is_some() && !context.is_leader() && !is_continuing {
             context.leader_since.set(None);
             context.record_event(events::LEADERSHIP_LOST, "lease not renewed".into());
         }
@@ -170,6 +179,22 @@
     }
 }
 
+/// Claims or renews the row; a leader that continues after a restoration of the store also records
+/// its assignments again.
+async fn write_row(context: &Context, version: StoreVersion) {
+    if !context.election.borrow().is_continuing() {
+        return claim_row(context, version).await;
+    }
+    match version.is_none() {
+        true => restoration::record_again(context).await,
+        // That write got no response, but has created the row.
+        false => claim_row(context, version).await,
+    }
+    if context.is_leader() {
+        restoration::resume(context);
+    }
+}
+
 /// Returns whether heartbeats are missing for longer than preceding members need to claim the row.
 fn is_leader_missing(context: &Context) -> bool {
     let timeout = HEARTBEAT_TIMEOUT + position_delay(context, Duration::ZERO);
@@ -222,13 +247,18 @@
     let sent_at = clock::local_time();
     let result = context
         .router_store
-        .read_table(ROUTER_TABLE, STORE_TIMEOUT)
+        .read_router_table(context.era(), STORE_TIMEOUT)
         .await;
     context.metrics.count_store_call("owners", result.is_ok());
     context.set_store_reachable(result.is_ok());
-    let Ok(rows) = result else {
-        return false;
+    let rows = match result {
+        Ok(rows) => rows,
+        Err(error) => {
+            observe_restoration(context, &error);
+            return false;
+        }
     };
+    store_era::observe(context, rows.store_version.era);
     apply_leader_row(context, &rows, sent_at);
     for row in &rows.rows {
         if let Some(service) = row.key.strip_prefix(OWNERS_PREFIX) {
@@ -238,6 +268,29 @@
     true
 }
 
+/// Follows the era that an error tells, if the store has been restored.
+fn observe_restoration(context: &Context, error: &Error) {
+    if let Error::Restored { era } = error {
+        store_era::observe(context, *era);
+    }
+}
+
+/// Returns the time of the store's clock until which grants may be in force of which nothing is
+/// recorded, as the leader's row does not exist: leaders of an earlier era may have sent them until
+/// their leases ended. `None` when the system starts for the first time.
+fn unknown_grants_end(context: &Context, store_time: Duration) -> Option<Duration> {
+    if context.settings.bootstrap && context.restored_at.get().is_none() {
+        return None;
+    }
+    // The first time in this era: grants of earlier eras can only have been sent before.
+    let end = context.unknown_until.get().unwrap_or_else(|| {
+        let max_ttl = context.bounds.borrow().max_ttl;
+        let max_lifetime = max_grant_lifetime(max_ttl, command_sender::DELIVERY_LIMIT);
+        store_time + LEASE_TTL + max_lifetime
+    });
+    Some(end)
+}
+
 /// Applies the leader's row from a response of the store to a call that started at `sent_at`.
 fn apply_leader_row(context: &Context, rows: &RowSet, sent_at: LocalTime) {
     let row = rows.rows.iter().find(|row| row.key == ROW_KEY);
@@ -249,7 +302,7 @@
     let decoded: Option<LeaderRowValue> = value.and_then(|json| serde_json::from_slice(json).ok());
     let is_own_row = decoded.as_ref().is_some_and(|it| it.run == context.run_id);
     let stored = LeaderRow {
-        version: row.map_or(0, |row| row.version),
+        version: row.map_or(StoreVersion::NONE, |row| row.version),
         is_own: is_own_row,
         released: decoded.as_ref().is_none_or(|it| it.run.is_empty()),
         lease_start: decoded
@@ -258,6 +311,12 @@
             .map(Duration::from_millis),
     };
     let expiry = decoded.as_ref().and_then(|it| grants_end(context, it));
+    let unknown_until = match (&decoded, rows.store_time) {
+        (Some(row), _) => row.unknown_until.map(Duration::from_millis),
+        (None, Some(store_time)) => unknown_grants_end(context, store_time),
+        (None, None) => context.unknown_until.get(),
+    };
+    context.unknown_until.set(unknown_until);
     context.observed_row.set(Some((stored.version, expiry)));
     context
         .election
@@ -330,15 +389,17 @@
 }
 
 /// Claims or renews the leader's row on the condition that it has this version.
-async fn claim_row(context: &Context, version: u64) {
+async fn claim_row(context: &Context, version: StoreVersion) {
     let guard = context.write_lock.lock().await;
-    let (was_leader, sent_at) = (context.is_leader(), clock::local_time());
+    let is_continuing = context.election.borrow().is_continuing();
+    let was_leader = context.is_leader() || is_continuing;
+    let sent_at = clock::local_time();
     let timestamp = timestamp_to_write(context, sent_at);
     let checks = [check(ROW_KEY, version)];
     let writes = [new_row(context, timestamp, None)];
     let result = context
         .router_store
-        .commit(&checks, &writes, STORE_TIMEOUT)
+        .commit(context.era(), &checks, &writes, STORE_TIMEOUT)
         .await;
     drop(guard);
     context.metrics.count_store_call("lease", result.is_ok());
@@ -368,7 +429,7 @@
 
 /// Returns the store timestamp for the leader's row. If none is known, it is zero: a lease from
 /// there has expired already, and the response brings a timestamp for the next write.
-fn timestamp_to_write(context: &Context, now: LocalTime) -> StoreTimestamp {
+pub fn timestamp_to_write(context: &Context, now: LocalTime) -> StoreTimestamp {
     let timestamp = context.election.borrow().store_timestamp();
     timestamp.unwrap_or(StoreTimestamp {
         store_time: Duration::ZERO,
@@ -380,7 +441,7 @@
 }
 
 /// Applies the result of a write that was sent at `sent_at` with `written` in the leader's row.
-fn apply_write_result(
+pub fn apply_write_result(
     context: &Context,
     (written, sent_at): (StoreTimestamp, LocalTime),
     result: &cowslip_adapter::Result<CommitOutcome>,
@@ -408,6 +469,7 @@
             context.record_event(events::WRITE_UNANSWERED, error.to_string());
             context.election.borrow_mut().mark_write_unanswered();
         }
+        Err(error @ Error::Restored { .. }) => observe_restoration(context, error),
         // Nothing was written; the election tries again.
         Err(error) => context.record_event(events::WRITE_REFUSED, error.to_string()),
     }
@@ -418,7 +480,7 @@
 pub async fn record_assignments(
     context: &Context,
     service: &Name,
-    previous_version: u64,
+    previous_version: StoreVersion,
     table: &AssignmentTable,
 ) -> RecordingOutcome {
     let guard = context.write_lock.lock().await;
@@ -437,7 +499,7 @@
     writes.push(new_row(context, timestamp, None));
     let result = context
         .router_store
-        .commit(&checks, &writes, STORE_TIMEOUT)
+        .commit(context.era(), &checks, &writes, STORE_TIMEOUT)
         .await;
     drop(guard);
     context.metrics.count_store_call("record", result.is_ok());
@@ -458,7 +520,7 @@
 fn apply_recorded(
     context: &Context,
     service: &Name,
-    (previous_version, version): (u64, u64),
+    (previous_version, version): (StoreVersion, StoreVersion),
     table: &AssignmentTable,
 ) {
     let mut all_recorded = context.recorded_assignments.borrow_mut();
@@ -501,7 +563,7 @@
     let writes = [new_row(context, timestamp, Some(own_grants_end(context)))];
     let result = context
         .router_store
-        .commit(&checks, &writes, STORE_TIMEOUT)
+        .commit(context.era(), &checks, &writes, STORE_TIMEOUT)
         .await;
     drop(guard);
     let detail = match result {
@@ -514,7 +576,7 @@
     }
 }
 
-fn check(key: &str, version: u64) -> VersionCheck {
+pub fn check(key: &str, version: StoreVersion) -> VersionCheck {
     VersionCheck {
         key: key.into(),
         version,
@@ -528,7 +590,12 @@
 
 /// Returns the leader's row to write. `release` is `Some` to release the row, with the time after
 /// which no grant of this leader is in force, if that is known.
-fn new_row(context: &Context, time: StoreTimestamp, release: Option<Option<Duration>>) -> RowWrite {
+pub fn new_row(
+    context: &Context,
+    time: StoreTimestamp,
+    release: Option<Option<Duration>>,
+) -> RowWrite {
+    let unknown_until = context.unknown_until.get();
     let row = LeaderRowValue {
         name: context.settings.name.clone(),
         run: match release {
@@ -539,6 +606,9 @@
         grants_expire: release.flatten().map(|until| until.as_millis() as u64 + 1),
         heartbeats: context.settings.listen.heartbeats,
         lease_start: Some(time.store_time.as_millis() as u64),
+        unknown_until: unknown_until
+            .filter(|end| *end > time.store_time)
+            .map(|end| end.as_millis() as u64 + 1),
     };
     RowWrite {
         key: ROW_KEY.into(),
--- a/crates/cowslipcross/src/peers/assignments.rs
+++ b/crates/cowslipcross/src/peers/assignments.rs
@@ -10,7 +10,7 @@
         },
     },
     cowslip_decide::{
-        names::{Fence, Name},
+        names::{Fence, Name, StoreVersion},
         owners::{Assignment, AssignmentTable},
     },
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -39,7 +39,7 @@
         let included = recent.filter(|change| change.assignments.len() <= MAX_CHANGED_ASSIGNMENTS);
         let update = AssignmentUpdate {
             version: it.version,
-            base_version: included.map_or(0, |change| change.base_version),
+            base_version: included.map_or(StoreVersion::NONE, |change| change.base_version),
             assignments: included.map_or_else(Vec::new, |it| {
                 it.assignments.iter().map(Into::into).collect()
             }),
@@ -107,7 +107,7 @@
     };
     let update = AssignmentUpdate {
         version: known.version,
-        base_version: 0,
+        base_version: StoreVersion::NONE,
         large_table: false,
         assignments: known.table.assignments.iter().map(Into::into).collect(),
     };
@@ -118,7 +118,9 @@
 /// Applies all assignments of a service if they are newer and complete.
 pub fn handle_response(context: &Context, service: &Name, update: &AssignmentUpdate) {
     let all_recorded = context.recorded_assignments.borrow();
-    let known = all_recorded.get(service).map_or(0, |it| it.version);
+    let known = all_recorded
+        .get(service)
+        .map_or(StoreVersion::NONE, |it| it.version);
     drop(all_recorded);
     let assignments: Vec<Assignment> = update.assignments.iter().map(Assignment::from).collect();
     let highest = assignments.iter().map(|it| it.fence).max();
@@ -131,7 +133,12 @@
     }
 }
 
-fn set_assignments(context: &Context, service: &Name, version: u64, table: AssignmentTable) {
+fn set_assignments(
+    context: &Context,
+    service: &Name,
+    version: StoreVersion,
+    table: AssignmentTable,
+) {
     let detail = format!(
         "service {service}, version {version}, {} assignments, from the leader",
         table.assignments.len()
--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -12,7 +12,7 @@
             message::{InstanceReport, LeaderHeartbeat, Message, WireIncarnation},
         },
         serve::permits,
-        views::{leaving_targets, target_updates, targets},
+        views::{leaving_targets, store_era, target_updates, targets},
     },
     cowslip_decide::names::Name,
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -46,8 +46,10 @@
     context
         .events
         .observe_timestamp(HybridTimestamp::from(heartbeat.timestamp));
+    store_era::observe(context, heartbeat.leader_version.era);
     let mut election = context.election.borrow_mut();
-    if heartbeat.leader_version < election.row_version() {
+    let is_past_era = heartbeat.leader_version.era < context.era();
+    if is_past_era || heartbeat.leader_version < election.row_version() {
         return;
     }
     election.apply_heartbeat(heartbeat.leader_version, clock::local_time());
--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -6,7 +6,7 @@
 use {
     crate::views::target_updates::TargetUpdateMessage,
     cowslip_decide::{
-        names::{Fence, Name},
+        names::{Fence, Name, StoreVersion},
         owners::{Assignment, TargetIncarnation},
     },
     serde::{Deserialize, Serialize},
@@ -88,7 +88,7 @@
     /// Time of the sender's hybrid logical clock.
     pub timestamp: u64,
     /// Version of the leader's row in the store; lower ones mark heartbeats of previous leaders.
-    pub leader_version: u64,
+    pub leader_version: StoreVersion,
     /// Versions of the recorded assignments by service, with recent changes.
     pub assignment_updates: BTreeMap<Name, AssignmentUpdate>,
     /// Number of instances among which shared limits are divided.
@@ -96,7 +96,7 @@
     /// Hash of the membership; receivers do not read it.
     pub membership_hash: u32,
     /// Highest version of an operators' row that the leader has applied.
-    pub config_version: u64,
+    pub config_version: StoreVersion,
     /// Recent changes of targets, or a confirmation that there are none.
     pub target_update: TargetUpdateMessage,
     /// Targets that have recently announced in their responses that they are about to stop.
@@ -115,7 +115,7 @@
     /// Hash of the membership that the instance has.
     pub membership_hash: u32,
     /// Highest version of an operators' row that the instance has applied.
-    pub config_version: u64,
+    pub config_version: StoreVersion,
     /// Busiest keys with the number of requests since the last report, by service.
     pub key_counts: BTreeMap<Name, Vec<(u16, u32)>>,
     /// Service times in milliseconds of the targets whose pools the instance coordinates.
@@ -132,9 +132,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct AssignmentUpdate {
     /// Version of the service's row in the store.
-    pub version: u64,
-    /// Version to which the change applies; 0 without a change.
-    pub base_version: u64,
+    pub version: StoreVersion,
+    /// Version to which the change applies; none without a change.
+    pub base_version: StoreVersion,
     /// Assignments that were added or replaced; all of them in [`Message::Assignments`].
     pub assignments: Vec<WireAssignment>,
     /// Whether the service has too many assignments for a message: an instance that missed an
--- a/crates/cowslipcross/src/status.rs
+++ b/crates/cowslipcross/src/status.rs
@@ -60,7 +60,7 @@
         let all_recorded = context.recorded_assignments.borrow();
         let versions = all_recorded
             .iter()
-            .map(|(name, it)| (name.clone(), it.version));
+            .map(|(name, it)| (name.clone(), it.version.number));
         Self {
             name: context.settings.name.clone(),
             data_centre: context.settings.data_centre.clone(),
--- a/crates/cowslipcross/src/views.rs
+++ b/crates/cowslipcross/src/views.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod leaving_targets;
+pub mod store_era;
 mod store_health;
 pub mod target_snapshot;
 pub mod target_updates;
--- a/crates/cowslipcross/src/views/config.rs
+++ b/crates/cowslipcross/src/views/config.rs
@@ -1,15 +1,20 @@
 //! Follows the operators' rows in the store: the configuration and withdrawals of data centres.
 
 use {
-    crate::{context::Context, events, serve::routes::Routes, views::store_health::StoreHealth},
+    crate::{
+        context::Context,
+        events,
+        serve::routes::Routes,
+        views::{store_era, store_health::StoreHealth},
+    },
     cowslip_adapter::{
         Error,
         config::Config,
         store::{OPERATOR_TABLE, OperatorRow, Row},
     },
-    cowslip_decide::names::Name,
-    std::{collections::btree_map::Entry, rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep, timeout},
+    cowslip_decide::names::{Name, StoreVersion},
+    std::{collections::btree_map::Entry, future::pending, rc::Rc, time::Duration},
+    tokio::time::{Instant, sleep, sleep_until, timeout},
 };
 
 /// Time for which the store holds a call open to wait for a change, if no heartbeats of a leader
@@ -24,6 +29,10 @@
 /// Time that a waiting call has to return a change after another instance reported it.
 const STALE_GRACE: Duration = Duration::from_millis(250);
 
+/// Time after a restoration of the store within which operators write again what it lacks; until
+/// then, withdrawals stay in force without their rows.
+const REWRITE_GRACE: Duration = Duration::from_secs(5);
+
 /// Keeps the configuration and the withdrawals up to date; never returns.
 pub async fn watch_config(context: Rc<Context>) {
     let mut version = None;
@@ -35,6 +44,7 @@
                 read = wait_for_changes(&context, version) => read,
                 // The waiting call is dropped and everything is read on another connection.
                 () = wait_until_stale(&context) => Ok(None),
+                () = wait_for_grace_end(&context) => Ok(None),
             },
         };
         health.record_call(&context, "configuration", read.as_ref().err());
@@ -50,7 +60,10 @@
 
 /// Waits for changes after a version and applies them; returns the version read, or `None` if
 /// everything has to be read.
-async fn wait_for_changes(context: &Context, version: u64) -> Result<Option<u64>, Error> {
+async fn wait_for_changes(
+    context: &Context,
+    version: StoreVersion,
+) -> Result<Option<StoreVersion>, Error> {
     let wait = if context.is_follower() {
         FOLLOWER_LONG_POLL_TIME
     } else {
@@ -62,6 +75,7 @@
     let Some(rows) = changes.await? else {
         return Ok(None);
     };
+    store_era::observe(context, rows.store_version.era);
     rows.rows.iter().for_each(|row| apply_row(context, row));
     Ok(Some(rows.store_version.max(version)))
 }
@@ -84,18 +98,37 @@
     }
 }
 
-/// Reads and applies all of the operators' rows; withdrawals that have no row any more end.
-async fn read_all(context: &Context) -> Result<u64, Error> {
+/// Returns whether rows may be missing that operators write again after a restoration of the store.
+fn is_in_grace(context: &Context) -> bool {
+    let restored_at = context.restored_at.get();
+    restored_at.is_some_and(|at| at.elapsed() < REWRITE_GRACE)
+}
+
+/// Returns when [`REWRITE_GRACE`] ends; never if the store was not restored within that time.
+async fn wait_for_grace_end(context: &Context) {
+    match context.restored_at.get().filter(|_| is_in_grace(context)) {
+        Some(restored_at) => sleep_until(restored_at + REWRITE_GRACE).await,
+        None => pending().await,
+    }
+}
+
+/// Reads and applies all of the operators' rows; withdrawals that have no row any more end, except
+/// during [`REWRITE_GRACE`].
+async fn read_all(context: &Context) -> Result<StoreVersion, Error> {
     let rows = context
         .watch_store
         .read_table(OPERATOR_TABLE, CALL_TIMEOUT)
         .await?;
+    store_era::observe(context, rows.store_version.era);
     let withdrawn_name = |row: &Row| match OperatorRow::from_key(&row.key) {
         OperatorRow::Withdrawn(data_centre) => Some(Name::from(data_centre)),
         _ => None,
     };
     let withdrawn: Vec<Name> = rows.rows.iter().filter_map(withdrawn_name).collect();
-    let previous: Vec<Name> = context.withdrawn.borrow().keys().cloned().collect();
+    let previous: Vec<Name> = match is_in_grace(context) {
+        true => Vec::new(),
+        false => context.withdrawn.borrow().keys().cloned().collect(),
+    };
     for data_centre in previous.iter().filter(|it| !withdrawn.contains(it)) {
         restore_data_centre(context, data_centre);
     }
--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -3,7 +3,10 @@
 use {
     crate::views::target_updates::{TargetChanges, TargetUpdateMessage},
     cowslip_adapter::targets::TargetReport,
-    cowslip_decide::{names::Name, owners::TargetIncarnation},
+    cowslip_decide::{
+        names::{Name, StoreVersion},
+        owners::TargetIncarnation,
+    },
     std::{collections::BTreeMap, iter, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
@@ -39,9 +42,9 @@
     /// a later report says so or its report was missing for some time.
     draining: Rc<BTreeMap<TargetIncarnation, Instant>>,
     /// Store version up to which all reports are included.
-    store_version: u64,
+    store_version: StoreVersion,
     /// Version of the store at the last change.
-    changed_version: u64,
+    changed_version: StoreVersion,
     /// When the last read that confirmed the snapshot was sent, here or at the leader; `None`
     /// before the first read.
     confirmed_at: Option<Instant>,
@@ -66,8 +69,8 @@
         Self {
             views: BTreeMap::new(),
             draining: Rc::default(),
-            store_version: 0,
-            changed_version: 0,
+            store_version: StoreVersion::NONE,
+            changed_version: StoreVersion::NONE,
             confirmed_at: None,
             grace_until: None,
         }
@@ -90,7 +93,7 @@
     }
 
     /// Returns the version of the store at the last change.
-    pub fn changed_version(&self) -> u64 {
+    pub fn changed_version(&self) -> StoreVersion {
         self.changed_version
     }
 
@@ -112,16 +115,17 @@
 
     /// Returns the snapshot after a read of the store that was sent at `sent_at`, and the changes.
     ///
-    /// Reports that expired while the store was unavailable are written again soon after it has
-    /// recovered; until then missing targets are kept.
+    /// Reports that expired while the store was unavailable, or that a restored store lacks, are
+    /// written again soon after it is available; until then missing targets are kept.
     pub fn with_reports(
         &self,
         reports: Vec<TargetReport>,
-        version: u64,
+        version: StoreVersion,
         (sent_at, now): (Instant, Instant),
     ) -> (Self, TargetChanges) {
         let has_read_gap = self.age(sent_at).is_some_and(|age| age > MAX_READ_GAP);
-        let grace_until = match has_read_gap {
+        let is_restored = self.is_known() && version.era > self.store_version.era;
+        let grace_until = match has_read_gap || is_restored {
             true => Some(now + REPORT_GRACE_PERIOD),
             false => self.grace_until.filter(|until| *until > now),
         };
--- a/crates/cowslipcross/src/views/target_snapshot_tests.rs
+++ b/crates/cowslipcross/src/views/target_snapshot_tests.rs
@@ -3,6 +3,7 @@
 use {
     super::TargetSnapshot,
     cowslip_adapter::targets::TargetReport,
+    cowslip_decide::names::StoreVersion,
     std::{net::SocketAddr, time::Duration},
     tokio::time::Instant,
 };
@@ -23,9 +24,11 @@
 fn read(
     snapshot: &TargetSnapshot,
     reports: Vec<TargetReport>,
-    version: u64,
+    version: (u64, u64),
     now: Instant,
 ) -> TargetSnapshot {
+    let (era, number) = version;
+    let version = StoreVersion { era, number };
     snapshot.with_reports(reports, version, (now, now)).0
 }
 
@@ -38,7 +41,12 @@
 #[test]
 fn a_target_that_announced_its_stop_drains_whatever_its_report_says() {
     let start = Instant::now();
-    let snapshot = read(&TargetSnapshot::empty(), vec![report(1, false)], 5, start);
+    let snapshot = read(
+        &TargetSnapshot::empty(),
+        vec![report(1, false)],
+        (0, 5),
+        start,
+    );
     let target = snapshot.get("a").expect("a target").target_incarnation();
     let marked = snapshot
         .with_draining(&target, start)
@@ -46,15 +54,15 @@
     assert!(is_draining(&marked));
     assert!(marked.with_draining(&target, start).is_none());
     let later = start + Duration::from_millis(600);
-    let same = read(&marked, vec![report(1, false)], 6, later);
+    let same = read(&marked, vec![report(1, false)], (0, 6), later);
     assert!(is_draining(&same));
     // The report is missing for a while and comes back.
-    let missing = read(&same, vec![], 7, later + Duration::from_millis(600));
+    let missing = read(&same, vec![], (0, 7), later + Duration::from_millis(600));
     assert!(missing.get("a").is_none());
     let back = read(
         &missing,
         vec![report(1, false)],
-        8,
+        (0, 8),
         later + Duration::from_millis(1200),
     );
     assert!(is_draining(&back));
@@ -62,7 +70,7 @@
     let next = read(
         &back,
         vec![report(2, false)],
-        9,
+        (0, 9),
         later + Duration::from_millis(1800),
     );
     assert!(!is_draining(&next));
@@ -71,14 +79,38 @@
 #[test]
 fn a_target_that_reported_that_it_drains_does_not_take_new_work_again() {
     let start = Instant::now();
-    let draining = read(&TargetSnapshot::empty(), vec![report(1, true)], 5, start);
+    let draining = read(
+        &TargetSnapshot::empty(),
+        vec![report(1, true)],
+        (0, 5),
+        start,
+    );
     assert!(is_draining(&draining));
     // An older copy of the report is read, as after the restoration of a backup of the store.
     let later = start + Duration::from_millis(600);
     assert!(is_draining(&read(
         &draining,
         vec![report(1, false)],
-        6,
+        (0, 6),
         later
     )));
 }
+
+#[test]
+fn targets_that_a_restored_store_lacks_are_kept_until_they_report_again() {
+    let start = Instant::now();
+    let snapshot = read(
+        &TargetSnapshot::empty(),
+        vec![report(1, false)],
+        (1, 90),
+        start,
+    );
+    // The backup is older than the target, and its versions are lower.
+    let at = |millis| start + Duration::from_millis(millis);
+    let restored = read(&snapshot, vec![], (2, 40), at(600));
+    assert!(restored.get("a").is_some());
+    let same_era = read(&restored, vec![], (2, 41), at(1200));
+    assert!(same_era.get("a").is_some());
+    let gone = read(&same_era, vec![], (2, 42), at(3000));
+    assert!(gone.get("a").is_none());
+}
--- a/crates/cowslipcross/src/views/target_updates.rs
+++ b/crates/cowslipcross/src/views/target_updates.rs
@@ -7,7 +7,7 @@
 use {
     crate::{context::Context, views::target_snapshot::TargetSnapshot},
     cowslip_adapter::targets::TargetReport,
-    cowslip_decide::names::Name,
+    cowslip_decide::names::{Name, StoreVersion},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tokio::time::Instant,
@@ -30,9 +30,9 @@
 #[derive(Debug)]
 struct TargetUpdate {
     /// Version to which the changes apply.
-    base_version: u64,
+    base_version: StoreVersion,
     /// Version after the changes.
-    version: u64,
+    version: StoreVersion,
     targets: TargetChanges,
     /// Number of heartbeats that have included the changes.
     send_count: u32,
@@ -42,11 +42,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetUpdateMessage {
     /// Version of the leader's last change.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Milliseconds since the leader's last read; `None` before the first.
     pub age_ms: Option<u64>,
-    /// Version to which the changes apply; 0 without any.
-    pub base_version: u64,
+    /// Version to which the changes apply; none without any.
+    pub base_version: StoreVersion,
     /// Recent changes; empty if there are none or more than a heartbeat can have.
     pub changes: Vec<(Name, Option<WireTarget>)>,
 }
@@ -89,7 +89,11 @@
 
 impl TargetUpdates {
     /// Appends the changes that led from one version to another.
-    pub fn add_update(&mut self, (base_version, version): (u64, u64), targets: TargetChanges) {
+    pub fn add_update(
+        &mut self,
+        (base_version, version): (StoreVersion, StoreVersion),
+        targets: TargetChanges,
+    ) {
         self.clear_unless_latest(base_version);
         self.0.push(TargetUpdate {
             base_version,
@@ -118,7 +122,7 @@
             .0
             .first()
             .filter(|_| fits)
-            .map_or(0, |it| it.base_version);
+            .map_or(StoreVersion::NONE, |it| it.base_version);
         let changes = merged.iter().filter(|_| fits);
         TargetUpdateMessage {
             version: snapshot.changed_version(),
@@ -134,7 +138,7 @@
 impl TargetUpdates {
     /// Drops all updates unless the last one led to `version`: changes in between came from another
     /// leader.
-    fn clear_unless_latest(&mut self, version: u64) {
+    fn clear_unless_latest(&mut self, version: StoreVersion) {
         if self.0.last().is_some_and(|last| last.version != version) {
             self.0.clear();
         }
--- a/crates/cowslipcross/src/views/target_updates_tests.rs
+++ b/crates/cowslipcross/src/views/target_updates_tests.rs
@@ -5,10 +5,15 @@
     super::{TargetUpdateMessage, TargetUpdates},
     crate::views::target_snapshot::{TargetSnapshot, UpdateResult},
     cowslip_adapter::targets::TargetReport,
+    cowslip_decide::names::StoreVersion,
     std::{net::SocketAddr, time::Duration},
     tokio::time::Instant,
 };
 
+fn at(number: u64) -> StoreVersion {
+    StoreVersion { era: 0, number }
+}
+
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -44,7 +49,7 @@
         let before = self.snapshot.changed_version();
         let (next, changes) = self
             .snapshot
-            .with_reports(reports.to_vec(), version, (now, now));
+            .with_reports(reports.to_vec(), at(version), (now, now));
         if !changes.is_empty() {
             self.updates
                 .add_update((before, next.changed_version()), changes);
@@ -60,7 +65,8 @@
 }
 
 fn read(reports: &[TargetReport], version: u64, now: Instant) -> TargetSnapshot {
-    let (snapshot, _) = TargetSnapshot::empty().with_reports(reports.to_vec(), version, (now, now));
+    let (snapshot, _) =
+        TargetSnapshot::empty().with_reports(reports.to_vec(), at(version), (now, now));
     snapshot
 }
 
@@ -108,7 +114,7 @@
             .get("c")
             .is_some_and(|it| it.is_cold(now + millis(2900)))
     );
-    assert_eq!(snapshot.changed_version(), 40);
+    assert_eq!(snapshot.changed_version(), at(40));
     // A heartbeat includes both changes until each one was sent often enough.
     leader.read(&[target("b", true, 0)], 44, later + millis(300));
     let now = later + millis(310);
@@ -180,7 +186,7 @@
     leader.read(&[a, b.clone(), c], 40, start);
     leader.read(&[b], 50, start);
     let message = leader.send_message(start);
-    assert!(message.base_version >= 30, "{message:?}");
+    assert!(message.base_version >= at(30), "{message:?}");
     assert!(matches!(
         follower.apply_message(message, start),
         UpdateResult::Missed
@@ -210,10 +216,10 @@
     let start = Instant::now();
     let snapshot = read(&[target("a", false, 3000)], 9, start);
     let now = start + millis(1000);
-    let (_, changes) = snapshot.with_reports(vec![target("a", false, 2000)], 10, (now, now));
+    let (_, changes) = snapshot.with_reports(vec![target("a", false, 2000)], at(10), (now, now));
     assert!(changes.is_empty());
-    let (warm, _) = snapshot.with_reports(vec![target("a", false, 0)], 11, (now, now));
-    let (_, changes) = warm.with_reports(vec![target("a", false, 3000)], 12, (now, now));
+    let (warm, _) = snapshot.with_reports(vec![target("a", false, 0)], at(11), (now, now));
+    let (_, changes) = warm.with_reports(vec![target("a", false, 3000)], at(12), (now, now));
     assert!(changes.contains_key("a"));
 }
 
@@ -222,12 +228,13 @@
     let start = Instant::now();
     let snapshot = read(&[target("a", false, 0)], 9, start);
     let recovered_at = start + millis(5000);
-    let (snapshot, changes) = snapshot.with_reports(Vec::new(), 10, (recovered_at, recovered_at));
+    let (snapshot, changes) =
+        snapshot.with_reports(Vec::new(), at(10), (recovered_at, recovered_at));
     assert!(changes.is_empty() && snapshot.get("a").is_some());
     let later = recovered_at + millis(1500);
-    let (snapshot, _) = snapshot.with_reports(Vec::new(), 11, (later, later));
+    let (snapshot, _) = snapshot.with_reports(Vec::new(), at(11), (later, later));
     assert!(snapshot.get("a").is_some());
     let expired = recovered_at + millis(2400);
-    let (snapshot, changes) = snapshot.with_reports(Vec::new(), 12, (expired, expired));
+    let (snapshot, changes) = snapshot.with_reports(Vec::new(), at(12), (expired, expired));
     assert!(snapshot.get("a").is_none() && changes.contains_key("a"));
 }
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -6,6 +6,7 @@
         context::Context,
         events::{self, EventFields},
         views::{
+            store_era,
             store_health::StoreHealth,
             target_snapshot::{TargetSnapshot, TargetView, UpdateResult},
             target_updates::TargetUpdateMessage,
@@ -39,7 +40,10 @@
             .await;
         health.record_call(&context, "targets", read.as_ref().err());
         match read {
-            Ok(rows) => apply_rows(&context, &rows, sent_at),
+            Ok(rows) => {
+                store_era::observe(&context, rows.store_version.era);
+                apply_rows(&context, &rows, sent_at);
+            }
             Err(_) => health.wait_to_retry(&context).await,
         }
     }
--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -88,6 +88,7 @@
             [(); 4].map(|()| ports::allocate_address());
         let text = format!(
             "name = \"{name}\"\ndata_centre = \"west\"\nstore = \"{store}\"\ntoken = \"{TOKEN}\"\n\
+             bootstrap = true\n\
              [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\n\
              operators = \"{operators}\"\nheartbeats = \"{heartbeats}\"\n\
              [bounds]\ngrace = \"6s\"\nmax_hold = \"10000ms\"\nretry_slack = \"62\"\n"
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -4,3 +4,4 @@
 mod faulty_targets;
 mod operators;
 mod requests;
+mod restoration;
--- a/crates/decide/src/election.rs
+++ b/crates/decide/src/election.rs
@@ -7,8 +7,13 @@
 //! same version for a TTL on its monotonic clock, which stops during a suspension and so can only
 //! lengthen the wait. Each candidate delays its claim differently, so that usually the preferred
 //! one gets the row.
+//!
+//! A store that was restored from a backup starts a new era, in which the row does not exist. The
+//! leader whose lease is valid when it learns of this may continue: no other instance has led since,
+//! so that it knows all grants. It stops acting until it has claimed the row in the new era. The
+//! other instances leave it a lease TTL for that.
 
-use {std::time::Duration, tokio::time::Instant};
+use {crate::names::StoreVersion, std::time::Duration, tokio::time::Instant};
 
 /// Part of the lease TTL for which the leader may act.
 ///
@@ -43,8 +48,8 @@
 /// The leader's row as it is in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaderRow {
-    /// Version; 0 if the row does not exist.
-    pub version: u64,
+    /// Version; none if the row does not exist.
+    pub version: StoreVersion,
     /// Whether this incarnation of this instance wrote the row.
     pub is_own: bool,
     /// Whether its writer has given up the leadership.
@@ -63,8 +68,8 @@
     Read,
     /// Write the row on the condition that it still has this version.
     Write {
-        /// Expected version; 0 if the row must not exist.
-        version: u64,
+        /// Expected version; none if the row must not exist.
+        version: StoreVersion,
     },
 }
 
@@ -90,6 +95,12 @@
     /// Whether the row may have changed: a write was not answered or the leadership was given up.
     needs_read: bool,
     epoch: u64,
+    /// Era of the store; `None` before its first response.
+    era: Option<u64>,
+    /// Whether this instance led when the era began and may continue to lead.
+    is_continuing: bool,
+    /// When a row that does not exist may be claimed.
+    claimable_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -109,7 +120,34 @@
             row_expiry: None,
             needs_read: false,
             epoch: 0,
+            era: None,
+            is_continuing: false,
+            claimable_at: None,
+        }
+    }
+
+    /// Applies a later era of the store. `can_continue` tells whether this instance, if it leads,
+    /// knows all assignments; `is_bootstrap`, that no instance can have led before.
+    pub fn enter_era(&mut self, era: u64, now: LocalTime, can_continue: bool, is_bootstrap: bool) {
+        // A second restoration may have removed the row of a leader of the era between.
+        let is_continuing = can_continue && self.is_leader(now);
+        if (self.lease.is_some() || self.is_continuing) && !is_continuing {
+            self.epoch += 1;
         }
+        self.era = Some(era);
+        self.is_continuing = is_continuing;
+        self.claimable_at = (!is_bootstrap).then(|| now.monotonic + self.lease_ttl);
+        self.lease = None;
+        self.row = None;
+        self.row_expiry = None;
+        self.store_timestamp = None;
+        self.needs_read = true;
+    }
+
+    /// Returns whether this instance led when the era of the store began, and has neither claimed
+    /// the row since nor learned that another instance has.
+    pub fn is_continuing(&self) -> bool {
+        self.is_continuing
     }
 
     /// Returns a number that changes whenever another instance may have been leader.
@@ -133,9 +171,11 @@
         self.lease_end().is_some_and(|end| now.since_boot < end)
     }
 
-    /// Returns the last known version of the row; 0 if none is known.
-    pub fn row_version(&self) -> u64 {
-        self.row.as_ref().map_or(0, |(row, _)| row.version)
+    /// Returns the last known version of the row; none if it is not known.
+    pub fn row_version(&self) -> StoreVersion {
+        self.row
+            .as_ref()
+            .map_or(StoreVersion::NONE, |(row, _)| row.version)
     }
 
     /// Returns whether this instance's renewal is late by a whole renewal period, so that the store
@@ -169,6 +209,7 @@
         }
         let due = match &self.lease {
             Some(lease) => lease.renewal_due,
+            None if self.is_continuing => now.monotonic,
             None if row.is_own && !claim_delay.includes_own => now.monotonic,
             None => self.row_free_time(row, *known_since) + claim_delay.duration,
         };
@@ -188,7 +229,10 @@
 
     /// Returns when any instance may claim the row, as far as this one knows; may be in the past.
     fn row_free_time(&self, row: &LeaderRow, known_since: Instant) -> Instant {
-        if row.released || row.version == 0 {
+        if row.version.is_none() {
+            return self.claimable_at.unwrap_or(known_since);
+        }
+        if row.released {
             return known_since;
         }
         let known_long = known_since + self.lease_ttl;
@@ -237,8 +281,9 @@
 
     /// Applies the version of the row from a leader's heartbeat. An instance with a lease ignores
     /// it, as its next conditional write fails if there is a later version.
-    pub fn apply_heartbeat(&mut self, version: u64, now: LocalTime) {
-        if version > self.row_version() && self.lease.is_none() {
+    pub fn apply_heartbeat(&mut self, version: StoreVersion, now: LocalTime) {
+        let is_current = self.era.is_none_or(|era| era == version.era);
+        if is_current && version > self.row_version() && self.lease.is_none() {
             let row = LeaderRow {
                 version,
                 is_own: false,
@@ -250,20 +295,24 @@
         }
     }
 
-    /// Applies a successful write: the row contains `row_timestamp` and has this version now.
+    /// Applies a successful write of the present era: the row contains `row_timestamp` and has this version now.
     /// `response_timestamp` is the later one that came with the response.
     pub fn confirm_write(
         &mut self,
         row_timestamp: StoreTimestamp,
-        version: u64,
+        version: StoreVersion,
         response_timestamp: StoreTimestamp,
     ) {
+        if self.era.is_some_and(|era| era != version.era) {
+            return;
+        }
         let row = LeaderRow {
             version,
             is_own: true,
             released: false,
             lease_start: Some(row_timestamp.store_time),
         };
+        self.is_continuing = false;
         self.set_row(row, response_timestamp.sent_at.monotonic);
         self.store_timestamp = Some(response_timestamp);
         self.row_expiry = None;
@@ -286,9 +335,11 @@
     }
 
     fn set_row(&mut self, row: LeaderRow, now: Instant) {
-        if !row.is_own {
+        let may_continue = self.is_continuing && (row.is_own || row.version.is_none());
+        if !row.is_own && !may_continue {
             self.epoch += 1;
         }
+        self.is_continuing = may_continue;
         let known = self.row.as_ref();
         let known_since = known
             .filter(|(known, _)| known.version == row.version)
--- a/crates/decide/src/owners/manager.rs
+++ b/crates/decide/src/owners/manager.rs
@@ -135,6 +135,9 @@
     pub grants_expire: Option<Duration>,
     /// Earliest time that the store's clock can show now; `None` if it is not known.
     pub earliest_now: Option<Duration>,
+    /// Time until which keys without a recorded owner may have one: the store was restored from a
+    /// backup, and no leader knows who was granted them. `None` if there is no such grant.
+    pub unknown_until: Option<Duration>,
 }
 
 impl StoreTimeBound {
@@ -185,15 +188,20 @@
             .time_until(previous.grants_expire)
             .unwrap_or(max_lifetime)
             .min(max_lifetime);
+        let unknown_end = previous.unknown_until.map(|end| {
+            // A lease and the grants at its end take less than twice the time of the grants alone.
+            let remaining = previous.time_until(Some(end));
+            now + remaining.unwrap_or(2 * max_lifetime)
+        });
         let states = table.assignments.iter().map(|assignment| {
             let remaining = previous
                 .time_until(assignment.expires_at)
                 .unwrap_or(max_remaining)
                 .min(max_remaining);
-            let grant_end = assignment.owner.as_ref().map(|_| now + remaining);
+            let owner_end = assignment.owner.as_ref().map(|_| now + remaining);
             AssignmentState {
-                grant_end,
-                late_end: grant_end,
+                grant_end: owner_end.or(unknown_end),
+                late_end: owner_end,
                 late_fence: assignment.fence,
                 // A recorded expiry forbids further grants with that fence: revoke, do not renew.
                 revocation: assignment.expires_at.map(|_| None),
@@ -291,12 +299,12 @@
             .is_some_and(|state| state.revocation.is_none() && !state.is_free && !state.needs_fence)
     }
 
-    /// Frees keys without an owner; revokes those whose owner is no candidate, may not own keys or
+    /// Frees keys without an owner once no unknown grant can be in force; revokes those whose owner is no candidate, may not own keys or
     /// has restarted.
     pub fn review_owners(&mut self, candidates: &BTreeMap<Name, Candidate>, now: Instant) {
         for state in &mut self.states {
             let Some(owner) = &state.assignment.owner else {
-                state.is_free = true;
+                state.is_free |= state.grant_end.is_none_or(|end| end <= now);
                 continue;
             };
             match candidates.get(&owner.id) {
--- a/crates/decide/tests/election.rs
+++ b/crates/decide/tests/election.rs
@@ -3,11 +3,14 @@
 mod seeds;
 
 use {
-    cowslip_decide::election::{
-        ClaimDelay, ElectionAction, LeaderElection, LeaderRow, LocalTime, StoreTimestamp,
+    cowslip_decide::{
+        election::{
+            ClaimDelay, ElectionAction, LeaderElection, LeaderRow, LocalTime, StoreTimestamp,
+        },
+        names::StoreVersion,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
     tokio::time::Instant,
 };
 
@@ -21,17 +24,40 @@
     since_boot: Duration,
     suspended_ticks: u32,
     claim_delay: ClaimDelay,
+    /// Era of the store's last response; `None` before the first.
+    era: Option<u64>,
 }
 
-/// The row in the store: its version and the machine that wrote it.
+/// The store: the rows of each era, with the machine that wrote them.
 #[derive(Default)]
+struct Store {
+    era: u64,
+    rows: BTreeMap<u64, StoreRow>,
+    /// Number of the latest version; falls when the store is restored.
+    latest: u64,
+    /// Writes without an answer that are carried out later.
+    delayed: Vec<DelayedWrite>,
+}
+
+#[derive(Clone, Copy, Default)]
 struct StoreRow {
-    version: u64,
+    number: u64,
     writer: Option<usize>,
     lease_start: Option<Duration>,
-    /// Writes without an answer that are carried out later: tick, expected version, writer, lease
-    /// start.
-    delayed: Vec<(u32, u64, usize, Duration)>,
+}
+
+/// A write with the tick at which it is carried out.
+#[derive(Clone, Copy)]
+struct DelayedWrite {
+    due: u32,
+    era: u64,
+    expected: StoreVersion,
+    writer: usize,
+    lease_start: Duration,
+}
+
+fn version(number: u64) -> StoreVersion {
+    StoreVersion { era: 0, number }
 }
 
 impl Machine {
@@ -41,27 +67,109 @@
             since_boot: self.since_boot,
         }
     }
+
+    /// Returns the time of the call, not of the response: the machine may be suspended in between.
+    fn timestamp(&self, tick: u32) -> StoreTimestamp {
+        StoreTimestamp {
+            store_time: TICK_LENGTH * tick,
+            sent_at: self.now(),
+        }
+    }
+
+    /// Follows the era of a response; returns whether it is a new one.
+    fn observe_era(&mut self, era: u64) -> bool {
+        let is_bootstrap = self.era.is_none() && era == 0;
+        if self.era == Some(era) {
+            return false;
+        }
+        self.era = Some(era);
+        let now = self.now();
+        self.election.enter_era(era, now, true, is_bootstrap);
+        true
+    }
+
+    fn read(&mut self, store: &Store, id: usize, tick: u32) {
+        self.observe_era(store.era);
+        let (now, timestamp) = (self.now(), self.timestamp(tick));
+        self.election
+            .apply_row(store.view(id), now, Some(timestamp));
+    }
+
+    /// Writes the row of the era that the machine knows.
+    fn write(&mut self, store: &mut Store, version: StoreVersion, id: usize, tick: u32) {
+        let Some(written) = self.election.store_timestamp() else {
+            return self.read(store, id, tick);
+        };
+        let era = self.era.unwrap_or(0);
+        let committed = store.write(era, version, id, written.store_time);
+        if self.observe_era(store.era) {
+            return;
+        }
+        match committed {
+            Some(version) => {
+                let timestamp = self.timestamp(tick);
+                self.election.confirm_write(written, version, timestamp);
+            }
+            None => self.read(store, id, tick),
+        }
+    }
 }
 
-impl StoreRow {
-    /// Returns the row as `reader` reads it.
+impl Store {
+    /// Returns the row of the present era as `reader` reads it.
     fn view(&self, reader: usize) -> LeaderRow {
+        let row = self.rows.get(&self.era).copied().unwrap_or_default();
         LeaderRow {
-            version: self.version,
-            is_own: self.writer == Some(reader),
+            version: match row.number {
+                0 => StoreVersion::NONE,
+                number => StoreVersion {
+                    era: self.era,
+                    number,
+                },
+            },
+            is_own: row.writer == Some(reader),
             released: false,
-            lease_start: self.lease_start,
+            lease_start: row.lease_start,
         }
     }
 
-    fn write(&mut self, version: u64, writer: usize, start: Duration) -> bool {
-        if self.version != version {
-            return false;
+    /// Writes the row of an era, as the late write of an earlier era does, too; returns its version.
+    fn write(
+        &mut self,
+        era: u64,
+        expected: StoreVersion,
+        writer: usize,
+        lease_start: Duration,
+    ) -> Option<StoreVersion> {
+        let row = self.rows.entry(era).or_default();
+        if row.number != expected.number {
+            return None;
+        }
+        self.latest += 1;
+        *row = StoreRow {
+            number: self.latest,
+            writer: Some(writer),
+            lease_start: Some(lease_start),
+        };
+        Some(StoreVersion {
+            era,
+            number: self.latest,
+        })
+    }
+
+    /// Restores a backup that lacks the last versions.
+    fn restore(&mut self, lost: u64) {
+        self.era += 1;
+        self.latest = self.latest.saturating_sub(lost);
+    }
+
+    fn carry_out_delayed(&mut self, tick: u32) {
+        let (due, remaining): (Vec<_>, Vec<_>) =
+            self.delayed.iter().copied().partition(|it| it.due <= tick);
+        self.delayed = remaining;
+        for late in due {
+            self.write(late.era, late.expected, late.writer, late.lease_start);
         }
-        self.version += 1;
-        self.writer = Some(writer);
-        self.lease_start = Some(start);
-        true
     }
 }
 
@@ -73,12 +181,12 @@
     }
 }
 
-/// Simulates two minutes with store outages, lost responses, delayed writes and suspended machines;
-/// returns the number of ticks with a leader.
-fn simulate(seed: u64) -> u32 {
+/// Simulates two minutes with store outages, lost responses, delayed writes, suspended machines and,
+/// with `restores`, restorations of the store; returns the number of ticks with a leader.
+fn simulate(seed: u64, restores: bool) -> u32 {
     let mut rng = StdRng::seed_from_u64(seed);
     let start = Instant::now();
-    let mut row = StoreRow::default();
+    let mut store = Store::default();
     let mut machines: Vec<Machine> = (0..4)
         .map(|position| Machine {
             election: LeaderElection::new(LEASE_TTL),
@@ -86,10 +194,13 @@
             since_boot: Duration::ZERO,
             suspended_ticks: 0,
             claim_delay: claim_delay(position),
+            era: None,
         })
         .collect();
     let mut led_ticks = 0;
     let (mut outage_ticks, mut loss_ticks) = (0u32, 0u32);
+    // Each leader with its epoch, in the order in which they acted.
+    let mut acted: Vec<(usize, u64)> = Vec::new();
     for tick in 0..2400u32 {
         if rng.random_bool(0.003) {
             outage_ticks = rng.random_range(1..200);
@@ -97,13 +208,12 @@
         if rng.random_bool(0.004) {
             loss_ticks = rng.random_range(1..150);
         }
-        (outage_ticks, loss_ticks) = (outage_ticks.saturating_sub(1), loss_ticks.saturating_sub(1));
-        let (due, remaining) = row.delayed.iter().partition(|(when, ..)| *when <= tick);
-        row.delayed = remaining;
-        let due: Vec<(u32, u64, usize, Duration)> = due;
-        for (_, version, writer, written) in due {
-            row.write(version, writer, written);
+        if restores && rng.random_bool(0.004) {
+            store.restore(rng.random_range(0..20));
+            outage_ticks = outage_ticks.max(rng.random_range(0..20));
         }
+        (outage_ticks, loss_ticks) = (outage_ticks.saturating_sub(1), loss_ticks.saturating_sub(1));
+        store.carry_out_delayed(tick);
         for (id, machine) in machines.iter_mut().enumerate() {
             machine.since_boot += TICK_LENGTH;
             if machine.suspended_ticks > 0 {
@@ -115,42 +225,33 @@
                 machine.suspended_ticks = rng.random_range(1..160);
                 continue;
             }
-            let now = machine.now();
-            let action = machine.election.next_action(now, machine.claim_delay);
-            // Contains the local time of the call, not of the response: the machine may be
-            // suspended in between.
-            let time = StoreTimestamp {
-                store_time: TICK_LENGTH * tick,
-                sent_at: now,
-            };
+            let action = machine
+                .election
+                .next_action(machine.now(), machine.claim_delay);
             if outage_ticks > 0 {
                 continue;
             }
+            let loses_response = loss_ticks > 0 && rng.random_bool(0.4);
             match action {
-                ElectionAction::Wait if rng.random_bool(0.2) => {
-                    machine.election.apply_row(row.view(id), now, Some(time))
-                }
+                ElectionAction::Wait if rng.random_bool(0.2) => machine.read(&store, id, tick),
                 ElectionAction::Wait => {}
-                ElectionAction::Read => machine.election.apply_row(row.view(id), now, Some(time)),
-                ElectionAction::Write { version } => {
+                ElectionAction::Read => machine.read(&store, id, tick),
+                ElectionAction::Write { version } if loses_response => {
                     let Some(written) = machine.election.store_timestamp() else {
-                        machine.election.apply_row(row.view(id), now, Some(time));
                         continue;
                     };
-                    if loss_ticks > 0 && rng.random_bool(0.4) {
-                        machine.election.mark_write_unanswered();
-                        if rng.random_bool(0.5) {
-                            row.write(version, id, written.store_time);
-                            continue;
-                        }
-                        let due_tick = tick + rng.random_range(20..120);
-                        row.delayed
-                            .push((due_tick, version, id, written.store_time));
-                    } else if row.write(version, id, written.store_time) {
-                        machine.election.confirm_write(written, row.version, time);
-                    } else {
-                        machine.election.apply_row(row.view(id), now, Some(time));
-                    }
+                    machine.election.mark_write_unanswered();
+                    let late = DelayedWrite {
+                        due: tick + rng.random_range(0..120),
+                        era: machine.era.unwrap_or(0),
+                        expected: version,
+                        writer: id,
+                        lease_start: written.store_time,
+                    };
+                    store.delayed.push(late);
+                }
+                ElectionAction::Write { version } => {
+                    machine.write(&mut store, version, id, tick);
                 }
             }
         }
@@ -161,7 +262,15 @@
             leaders.len() < 2,
             "seed {seed}: instances {leaders:?} lead at tick {tick}"
         );
-        led_ticks += leaders.len() as u32;
+        for id in leaders {
+            led_ticks += 1;
+            let leader = (id, machines[id].election.epoch());
+            if acted.last() != Some(&leader) {
+                // An epoch must not continue once another instance has led.
+                assert!(!acted.contains(&leader), "seed {seed}: tick {tick}");
+                acted.push(leader);
+            }
+        }
     }
     led_ticks
 }
@@ -171,7 +280,18 @@
     for seed in 0..seeds::count(300) {
         // A quarter of the 2,400 ticks.
         assert!(
-            simulate(seed) > 600,
+            simulate(seed, false) > 600,
+            "seed {seed}: too few ticks with a leader"
+        );
+    }
+}
+
+#[test]
+fn at_most_one_instance_leads_while_the_store_is_restored_from_backups() {
+    for seed in 0..seeds::count(300) {
+        // Several restorations in two minutes, each with an outage, leave less time with a leader.
+        assert!(
+            simulate(seed, true) > 400,
             "seed {seed}: too few ticks with a leader"
         );
     }
@@ -189,7 +309,7 @@
         store_time: Duration::ZERO,
         sent_at: before,
     };
-    election.confirm_write(timestamp, 1, timestamp);
+    election.confirm_write(timestamp, version(1), timestamp);
     assert!(election.is_leader(before));
     let after = LocalTime {
         monotonic: start,
@@ -202,6 +322,35 @@
     );
 }
 
+#[test]
+fn a_leader_continues_in_a_new_era_only_if_its_lease_was_valid_until_then() {
+    let start = Instant::now();
+    let at = |since_boot: Duration| LocalTime {
+        monotonic: start,
+        since_boot,
+    };
+    let begin = |now: LocalTime, knows_assignments: bool| {
+        let timestamp = StoreTimestamp {
+            store_time: Duration::ZERO,
+            sent_at: at(Duration::ZERO),
+        };
+        let mut election = LeaderElection::new(LEASE_TTL);
+        election.enter_era(0, at(Duration::ZERO), false, true);
+        election.confirm_write(timestamp, version(1), timestamp);
+        let epoch = election.epoch();
+        election.enter_era(1, now, knows_assignments, false);
+        assert!(
+            !election.is_leader(now),
+            "acts before it has claimed the row"
+        );
+        (election.is_continuing(), election.epoch() == epoch)
+    };
+    assert_eq!(begin(at(LEASE_TTL / 2), true), (true, true));
+    assert_eq!(begin(at(LEASE_TTL / 2), false), (false, false));
+    // The machine was suspended.
+    assert_eq!(begin(at(LEASE_TTL), true), (false, false));
+}
+
 #[test]
 fn a_version_from_a_heartbeat_counts_as_known() {
     let start = Instant::now();
@@ -210,7 +359,7 @@
         since_boot: Duration::from_millis(millis),
     };
     let mut election = LeaderElection::new(LEASE_TTL);
-    election.apply_heartbeat(7, local_time(0));
+    election.apply_heartbeat(version(7), local_time(0));
     assert_eq!(
         election.next_action(local_time(2300), ClaimDelay::default()),
         ElectionAction::Wait
@@ -221,7 +370,7 @@
         ElectionAction::Read
     );
     let row = LeaderRow {
-        version: 7,
+        version: version(7),
         is_own: false,
         released: false,
         lease_start: None,
@@ -232,7 +381,12 @@
     };
     election.apply_row(row, local_time(2400), Some(timestamp));
     let action = election.next_action(local_time(2400), ClaimDelay::default());
-    assert_eq!(action, ElectionAction::Write { version: 7 });
+    assert_eq!(
+        action,
+        ElectionAction::Write {
+            version: version(7)
+        }
+    );
 }
 
 /// A claim must not contain a store timestamp that is older than the row it replaces. Here the only
@@ -245,7 +399,7 @@
         since_boot: Duration::from_millis(millis),
     };
     let row = LeaderRow {
-        version: 6,
+        version: version(6),
         is_own: false,
         released: false,
         lease_start: Some(Duration::from_secs(50)),
@@ -256,7 +410,7 @@
     };
     let mut election = LeaderElection::new(LEASE_TTL);
     election.apply_row(row, local_time(0), Some(timestamp));
-    election.apply_heartbeat(7, local_time(100));
+    election.apply_heartbeat(version(7), local_time(100));
     for millis in (100..10_000).step_by(50) {
         let action = election.next_action(local_time(millis), ClaimDelay::default());
         assert!(
@@ -274,7 +428,7 @@
         since_boot: Duration::from_millis(millis),
     };
     let row = |is_own| LeaderRow {
-        version: 7,
+        version: version(7),
         is_own,
         released: false,
         lease_start: Some(Duration::from_secs(50)),
@@ -304,7 +458,9 @@
         let action = election.next_action(local_time(due), claim_delay(position));
         assert_eq!(
             action,
-            ElectionAction::Write { version: 7 },
+            ElectionAction::Write {
+                version: version(7)
+            },
             "position {position}"
         );
     }
@@ -312,7 +468,12 @@
     let mut election = LeaderElection::new(LEASE_TTL);
     election.apply_row(row(true), local_time(0), Some(timestamp));
     let action = election.next_action(local_time(0), claim_delay(1));
-    assert_eq!(action, ElectionAction::Write { version: 7 });
+    assert_eq!(
+        action,
+        ElectionAction::Write {
+            version: version(7)
+        }
+    );
     assert_eq!(
         election.next_action(local_time(0), claim_delay(3)),
         ElectionAction::Wait
@@ -327,7 +488,7 @@
         since_boot: Duration::from_secs(100),
     };
     let row = LeaderRow {
-        version: 4,
+        version: version(4),
         is_own: false,
         released: false,
         lease_start: Some(Duration::from_secs(50)),
@@ -345,6 +506,8 @@
     election.apply_row(row, now, Some(timestamp(2400)));
     assert_eq!(
         election.next_action(now, ClaimDelay::default()),
-        ElectionAction::Write { version: 4 }
+        ElectionAction::Write {
+            version: version(4)
+        }
     );
 }
--- a/crates/decide/tests/owners.rs
+++ b/crates/decide/tests/owners.rs
@@ -59,6 +59,31 @@
     }
 }
 
+#[test]
+fn restorations_of_the_store_never_give_a_key_two_owners() {
+    for seed in 0..seeds::count(100) {
+        Simulation::with_restorations(seed).run();
+    }
+}
+
+#[test]
+fn keys_without_a_record_are_free_only_when_unknown_grants_have_expired() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let previous = PreviousLeaders {
+        grants_expire: None,
+        earliest_now: Some(100 * second),
+        unknown_until: Some(105 * second),
+    };
+    let mut leader = AssignmentManager::new(&AssignmentTable::default(), TIMING, previous, now);
+    let all = candidates(&[("a", true), ("b", true)]);
+    leader.split_evenly(2);
+    leader.review_owners(&all, now + 5 * second - Duration::from_millis(1));
+    assert!(!leader.needs_recording(now));
+    leader.review_owners(&all, now + 5 * second);
+    assert!(leader.needs_recording(now));
+}
+
 #[test]
 fn a_release_frees_keys_only_after_its_response() {
     let now = Instant::now();
@@ -198,6 +223,7 @@
     let previous = |at: Instant| PreviousLeaders {
         grants_expire: None,
         earliest_now: Some(store_time(at)),
+        unknown_until: None,
     };
     let back = candidates(&[("a", true), ("b", true)]);
     now = start + Duration::from_secs(5);
--- a/crates/decide/tests/owners_world/mod.rs
+++ b/crates/decide/tests/owners_world/mod.rs
@@ -5,7 +5,7 @@
         names::{Fence, Name},
         owners::{
             Assignment, AssignmentManager, AssignmentTable, Candidate, Command, CommandOutcome,
-            CommandTiming, PreviousLeaders, StoreTimeBound, TargetIncarnation,
+            CommandTiming, PreviousLeaders, StoreTimeBound, TargetIncarnation, max_grant_lifetime,
         },
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -91,6 +91,11 @@
     election_ticks: u32,
     /// Expiry of the last leader's grants, if it resigned; `None` if it crashed.
     grants_end: Option<Instant>,
+    /// Whether the store is restored from backups now and then.
+    is_restored: bool,
+    /// Era of the store, and the time until which unknown grants of earlier eras may be in force.
+    era: u64,
+    unknown_until: Option<Instant>,
     is_healed: bool,
     commands: Vec<SentCommand>,
     /// Write to the store without a response.
@@ -132,12 +137,23 @@
             epoch: 0,
             election_ticks: 1,
             grants_end: None,
+            is_restored: false,
+            era: 0,
+            unknown_until: None,
             is_healed: false,
             commands: Vec::new(),
             pending_record: None,
         }
     }
 
+    /// Creates a simulation in which the store is also restored from backups.
+    pub fn with_restorations(seed: u64) -> Self {
+        Self {
+            is_restored: true,
+            ..Self::new(seed)
+        }
+    }
+
     /// Runs a phase with faults, then one without; checks ownership on each tick and at the end.
     pub fn run(&mut self) {
         for tick in 0..FAULT_TICKS + HEALTHY_TICKS {
@@ -178,10 +194,40 @@
                 self.grants_end = leader.map(|it| self.now + it.remaining_grant_time(self.now));
                 self.election_ticks = self.rng.random_range(1..400);
             }
+            6 if self.is_restored => self.restore_without_leader(),
+            7 if self.is_restored => self.restore_with_leader(),
             _ => {}
         }
     }
 
+    /// Restores the store while no leader can continue: nothing is recorded in the new era.
+    fn restore_without_leader(&mut self) {
+        self.era += 1;
+        self.leader = None;
+        self.pending_record = None;
+        self.grants_end = None;
+        self.election_ticks = self.rng.random_range(1..400);
+        self.table = AssignmentTable {
+            highest_fence: Fence::before_era(self.era),
+            ..AssignmentTable::default()
+        };
+        let max_lifetime = max_grant_lifetime(TIMING.max_ttl, TIMING.delivery_limit);
+        self.unknown_until = Some(self.now + max_lifetime);
+    }
+
+    /// Restores the store under a leader, which records its assignments again. A write without a
+    /// response was lost.
+    fn restore_with_leader(&mut self) {
+        let Some(leader) = &self.leader else {
+            return self.restore_without_leader();
+        };
+        self.era += 1;
+        self.table = leader.table();
+        if let Some(pending) = &mut self.pending_record {
+            pending.written = false;
+        }
+    }
+
     /// Returns the time of the store's clock at a local time.
     fn store_time(&self, moment: Instant) -> Duration {
         STORE_START + (moment - self.start)
@@ -207,6 +253,7 @@
                 let past = PreviousLeaders {
                     grants_expire: self.grants_end.take().map(|until| self.store_time(until)),
                     earliest_now: Some(self.store_time(self.now) - STORE_CLOCK_ERROR),
+                    unknown_until: self.unknown_until.map(|until| self.store_time(until)),
                 };
                 self.leader = Some(AssignmentManager::new(&self.table, TIMING, past, self.now));
             }
@@ -394,12 +441,21 @@
         }
     }
 
-    /// Checks that keys with a new owner have a higher fence than before.
+    /// Checks that keys with a new owner have a higher fence than before, and than any that a target
+    /// has accepted for them in an earlier era.
     fn check_fences(&self, next: &AssignmentTable) {
+        let seen_fences = self.targets.iter().flat_map(|it| &it.seen_fences);
+        let seen_fences: Vec<&(u16, u16, Fence)> = seen_fences.collect();
         for after in &next.assignments {
             let before = self.table.assignment(after.first);
-            let moved = before.owner != after.owner;
-            assert!(!moved || after.fence > before.fence, "seed {}", self.seed);
+            if before.owner == after.owner {
+                continue;
+            }
+            assert!(after.fence > before.fence, "seed {}", self.seed);
+            let is_higher = |(first, last, fence): &&(u16, u16, Fence)| {
+                *last < after.first || after.last < *first || *fence < after.fence
+            };
+            assert!(seen_fences.iter().all(is_higher), "seed {}", self.seed);
         }
     }
 
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -36,6 +36,8 @@
     DurationText,
     /// Number of 0 or more, which may be given as a string.
     Decimal,
+    /// `true` or `false`, which may be given as a string.
+    Flag,
 }
 
 impl Field {
@@ -67,6 +69,7 @@
             Self::Address => f.write_str("an address as ip:port with a port from 1 to 65535"),
             Self::DurationText => f.write_str("a duration like \"2500ms\" or \"6s\", up to a day"),
             Self::Decimal => f.write_str("a number of 0 or more"),
+            Self::Flag => f.write_str("true or false"),
         }
     }
 }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -53,6 +53,14 @@
     description: "CPU cores of the instance; more make it a likelier leader and pool coordinator.",
 };
 
+const BOOTSTRAP_FIELD: Field = Field {
+    path: "bootstrap",
+    data_type: DataType::Flag,
+    unit: "",
+    default: Some("false"),
+    description: "Whether the whole system starts for the first time, so that no target can own keys.",
+};
+
 /// Settings of an instance of the router.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProcessSettings {
@@ -64,6 +72,8 @@
     pub store: SocketAddr,
     /// Number of CPU cores available to the instance, such as 0.5.
     pub cpu: f64,
+    /// Whether the whole system starts for the first time, so that no target can own keys yet.
+    pub bootstrap: bool,
     /// Bearer token for `/status` and `/events`; if empty, all requests to them are denied.
     pub token: Name,
     /// Addresses on which the instance listens.
@@ -98,6 +108,7 @@
         data_centre: root.read_text(&DATA_CENTRE_FIELD)?,
         store: root.read_address(&STORE_FIELD)?,
         cpu: root.read_decimal(&CPU_FIELD)?,
+        bootstrap: root.read_flag(&BOOTSTRAP_FIELD)?,
         token: root.read_text(&TOKEN_FIELD)?,
         listen: ListenAddresses::from_root(root)?,
         bounds: Bounds::from_root(root)?,
@@ -110,6 +121,7 @@
         DATA_CENTRE_FIELD,
         STORE_FIELD,
         CPU_FIELD,
+        BOOTSTRAP_FIELD,
         TOKEN_FIELD,
     ],
     ListenAddresses::FIELDS,
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -179,6 +179,17 @@
         }
     }
 
+    /// Returns a flag or its default.
+    pub fn read_flag(&self, field: &Field) -> Result<bool> {
+        match self.find_nonempty(field) {
+            Some(found) => found.read_flag(),
+            None => self
+                .default_text(field)?
+                .parse()
+                .map_err(|_| self.missing_field(field)),
+        }
+    }
+
     /// Returns the addresses in a table by their keys; empty if the table is missing.
     pub fn read_addresses(&self, key: &str, field: &Field) -> Result<BTreeMap<Name, SocketAddr>> {
         let Some(section) = self.read_section(key)? else {
@@ -322,6 +333,16 @@
         number.ok_or_else(|| self.invalid_value(DataType::Decimal.to_string()))
     }
 
+    /// Returns the flag, which may be given as a string.
+    fn read_flag(&self) -> Result<bool> {
+        let flag = match self.value.get_ref() {
+            DeValue::String(text) => text.parse().ok(),
+            DeValue::Boolean(flag) => Some(*flag),
+            _ => None,
+        };
+        flag.ok_or_else(|| self.invalid_value(DataType::Flag.to_string()))
+    }
+
     /// Returns the error for an invalid value, with the value in it.
     pub fn invalid_value(&self, expected: impl Into<String>) -> Error {
         self.value_error(expected.into(), describe_value(self.value.get_ref()))
@@ -365,7 +386,9 @@
     match data_type {
         DataType::Text(min, max) | DataType::Secret(min, max) => (min..=max).contains(&text.len()),
         DataType::Address => text.parse().is_ok_and(|it: SocketAddr| it.port() > 0),
-        DataType::Integer(..) | DataType::DurationText | DataType::Decimal => false,
+        DataType::Integer(..) | DataType::DurationText | DataType::Decimal | DataType::Flag => {
+            false
+        }
     }
 }
 
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -36,6 +36,8 @@
     settings_path: PathBuf,
     log_path: PathBuf,
     child: Option<Child>,
+    /// Whether the process was started before; the first start is that of the whole system.
+    has_started: bool,
     started_at: Instant,
 }
 
@@ -83,6 +85,7 @@
             settings_path,
             log_path: work_directory.join(format!("{name}.log")),
             child: None,
+            has_started: false,
             started_at: Instant::now(),
         };
         instance.spawn()?;
@@ -105,9 +108,12 @@
         command
             .arg("--settings")
             .arg(&self.settings_path)
+            .arg("--set")
+            .arg(format!("bootstrap={}", !self.has_started))
             .stderr(log.try_clone()?)
             .stdout(log);
         self.child = Some(ports::spawn_process(&mut command)?);
+        self.has_started = true;
         self.started_at = Instant::now();
         Ok(())
     }
