test(soak): restorations of the store, targets that announce their stop or ask for quiet (--drills)

Checks DRAIN and BUDGET as targets and callers see them; the drills do not change the other faults of a seed.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -30,6 +30,13 @@
 /// Time for which a draining target keeps serving.
 const DRAIN_TIME: Duration = Duration::from_millis(3500);
 
+/// Time for which the store is away before it comes back from a backup.
+const RESTORATION_TIME: Duration = Duration::from_millis(400);
+/// Time after which operators and targets write again what a restored store lacks.
+const REWRITE_DELAY: Duration = Duration::from_millis(900);
+/// Time for which a target asks for quiet with each refusal.
+const QUIET_PERIOD: Duration = Duration::from_millis(2500);
+
 /// A deployment under test.
 #[derive(Debug)]
 pub struct Deployment {
@@ -78,6 +85,24 @@
     SwitchConfig,
     /// A data centre is withdrawn and restored.
     WithdrawDataCentre(usize),
+    /// The store is restored from a backup.
+    RestoreStore,
+    /// A target announces in its responses that it is about to stop, stops and restarts.
+    AnnounceStop(usize),
+    /// A target refuses requests and asks for quiet.
+    AskForQuiet(usize),
+}
+
+/// Draws a fault of those that are played only in drills, and its duration.
+pub fn draw_drill(random: &mut StdRng, target_count: usize) -> (Fault, Duration) {
+    let duration = Duration::from_millis(random.random_range(300..4000));
+    let target = random.random_range(0..target_count);
+    let fault = match random.random_range(0..4) {
+        0 | 1 => Fault::RestoreStore,
+        2 => Fault::AnnounceStop(target),
+        _ => Fault::AskForQuiet(target),
+    };
+    (fault, duration)
 }
 
 /// Draws a fault and its duration.
@@ -161,6 +186,19 @@
             proxied.set_mode(target::TargetMode::Normal);
             deployment.history.end_event(event);
         }
+        Fault::RestoreStore => restore_store(&deployment, duration).await,
+        Fault::AnnounceStop(index) => {
+            let mut proxied = deployment.targets[index].lock().await;
+            proxied.set_mode(target::TargetMode::Leaving);
+            sleep(DRAIN_TIME).await;
+            stop_and_restart(&deployment, &mut proxied, duration).await;
+        }
+        Fault::AskForQuiet(index) => {
+            let proxied = deployment.targets[index].lock().await;
+            proxied.set_mode(target::TargetMode::AskForQuiet(QUIET_PERIOD));
+            sleep(duration).await;
+            proxied.set_mode(target::TargetMode::Normal);
+        }
         Fault::CrashTarget(index) => crash_target(&deployment, index, duration).await,
         Fault::DrainTarget(index) => drain_target(&deployment, index, duration).await,
         Fault::PauseInstance(index) => {
@@ -257,14 +295,37 @@
     proxied.report_draining(&deployment.store);
     sleep(DRAIN_TIME).await;
     deployment.history.end_event(event);
-    let stop_event = deployment
+    stop_and_restart(deployment, &mut proxied, duration).await;
+}
+
+async fn stop_and_restart(
+    deployment: &Deployment,
+    proxied: &mut ProxiedTarget,
+    duration: Duration,
+) {
+    let event = deployment
         .history
         .begin_event(EventKind::TargetFault(proxied.id.clone()));
     proxied.crash();
     proxied.remove_report(&deployment.store);
     sleep(duration).await;
-    restart_target(deployment, &mut proxied).await;
-    deployment.history.end_event(stop_event);
+    restart_target(deployment, proxied).await;
+    deployment.history.end_event(event);
+}
+
+/// Loses the writes of `age`, after an outage. Operators and targets write theirs again.
+async fn restore_store(deployment: &Deployment, age: Duration) {
+    let backup = deployment.store.back_up();
+    sleep(age).await;
+    let event = deployment.history.begin_event(EventKind::StoreFault);
+    deployment.store.set_mode(store::StoreMode::Unavailable);
+    sleep(RESTORATION_TIME).await;
+    let lost = deployment.store.back_up();
+    deployment.store.restore(&backup);
+    deployment.store.set_mode(store::StoreMode::Normal);
+    sleep(REWRITE_DELAY).await;
+    deployment.store.write_again(&lost, &backup);
+    deployment.history.end_event(event);
 }
 
 /// Restarts a target and records its cold start.
--- a/soak/src/guarantees.rs
+++ b/soak/src/guarantees.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         history::{Event, EventKind, HistoryData, Outcome, RequestKind},
+        notices,
         targets::COLD_TIME,
     },
     cowslip_adapter_standins::observer::Arrival,
@@ -14,7 +15,7 @@
 };
 
 /// Longest time for which a target still gets requests after it has reported that it is draining.
-const DRAIN_LIMIT: Duration = Duration::from_millis(2000);
+pub const DRAIN_LIMIT: Duration = Duration::from_millis(2000);
 /// Longest time for which a data centre still gets requests after its withdrawal.
 const WITHDRAWAL_LIMIT: Duration = Duration::from_millis(5000);
 /// Longest time until all instances apply a new configuration.
@@ -26,7 +27,7 @@
 const MAX_COLD_REQUESTS: usize = 9;
 const ONE_SECOND: Duration = Duration::from_secs(1);
 /// Allowance for scheduling delays, as all processes share the cores of one machine.
-const SCHEDULING_SLACK: Duration = Duration::from_millis(300);
+pub const SCHEDULING_SLACK: Duration = Duration::from_millis(300);
 /// Time after a fault of the store or of an instance in which the time limits are not checked.
 const RECOVERY_TIME: Duration = Duration::from_millis(3000);
 
@@ -42,6 +43,7 @@
     violations.extend(check_withdrawal(history, arrivals));
     violations.extend(check_config(history, arrivals));
     violations.extend(check_cold_targets(history, arrivals));
+    violations.extend(notices::check_notices(history, arrivals));
     violations
 }
 
@@ -91,7 +93,7 @@
 }
 
 /// Returns whether an instance was killed or paused within a time span.
-fn was_killed_or_paused(
+pub fn was_killed_or_paused(
     history: &HistoryData,
     instance: &str,
     from: Instant,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,7 +1,7 @@
 //! Command line of the soak test.
 
 use {
-    clap::{Arg, Command, value_parser},
+    clap::{Arg, ArgAction, Command, value_parser},
     cowslip_soak::{
         Result,
         run::{self, RunOptions, RunReport},
@@ -35,6 +35,7 @@
             seed,
             fault_time: Duration::from_secs(number("seconds")),
             instance_count: number("instances") as usize,
+            drills: matches.get_flag("drills"),
         };
         match runtime.block_on(run::run_deployment(&options)) {
             Ok(report) if report.violations.is_empty() => {
@@ -97,6 +98,12 @@
             "Duration of fault injection in seconds",
         ))
         .arg(number("instances", "4", "Number of instances"))
+        .arg(
+            Arg::new("drills")
+                .long("drills")
+                .action(ArgAction::SetTrue)
+                .help("Also restore the store, let targets announce their stop and ask for quiet"),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -4,7 +4,7 @@
     crate::{
         Result,
         callers::{self, InstanceAddresses},
-        faults::{Deployment, Fault, draw_fault, inject_fault, publish_next_config},
+        faults::{Deployment, Fault, draw_drill, draw_fault, inject_fault, publish_next_config},
         guarantees,
         history::{History, HistoryData, Outcome},
         instance::Instance,
@@ -41,6 +41,9 @@
 /// Shortest and longest pause between two faults, in milliseconds.
 const FAULT_PAUSE_RANGE_MS: (u64, u64) = (200, 1800);
 
+/// Share of the faults that are drills, if they are played.
+const DRILL_SHARE: f64 = 0.3;
+
 /// Options of a run.
 #[derive(Clone, Debug)]
 pub struct RunOptions {
@@ -54,6 +57,9 @@
     pub fault_time: Duration,
     /// Number of instances.
     pub instance_count: usize,
+    /// Whether the store is also restored from backups, and targets announce their stop or ask for
+    /// quiet.
+    pub drills: bool,
 }
 
 /// Result of a run.
@@ -170,16 +176,18 @@
 /// Injects faults for `fault_time`, and waits until the last one is undone.
 async fn inject_faults(options: &RunOptions, deployment: &Arc<Deployment>) -> Vec<Fault> {
     let mut random = StdRng::seed_from_u64(options.seed);
+    // Drills do not change the other faults of a seed.
+    let mut drill_random = StdRng::seed_from_u64(!options.seed);
     let end = Instant::now() + options.fault_time;
     let (mut active, mut faults) = (JoinSet::new(), Vec::new());
     while Instant::now() < end {
         let pause = random.random_range(FAULT_PAUSE_RANGE_MS.0..FAULT_PAUSE_RANGE_MS.1);
         sleep(Duration::from_millis(pause)).await;
-        let (fault, duration) = draw_fault(
-            &mut random,
-            options.instance_count,
-            deployment.targets.len(),
-        );
+        let target_count = deployment.targets.len();
+        let (fault, duration) = match options.drills && drill_random.random_bool(DRILL_SHARE) {
+            true => draw_drill(&mut drill_random, target_count),
+            false => draw_fault(&mut random, options.instance_count, target_count),
+        };
         faults.push(fault);
         active.spawn(inject_fault(deployment.clone(), fault, duration));
     }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -1,7 +1,7 @@
 //! Each check of the soak test reports violations of its guarantee and accepts what is allowed.
 
 use {
-    cowslip_adapter_standins::observer::{Arrival, TargetObserver},
+    cowslip_adapter_standins::observer::{Arrival, Notice, TargetObserver},
     cowslip_soak::{
         guarantees::find_violations,
         history::{Event, EventKind, HistoryData, Outcome, RequestKind, RequestRecord},
@@ -30,9 +30,11 @@
         request_id: "r1".into(),
         target_id: "boards-0".into(),
         service: "boards".into(),
+        incarnation: 1,
         data_centre: "west".into(),
         arrived_at: millis_after(start, arrived_ms),
         was_executed,
+        notice: None,
     }
 }
 
@@ -244,3 +246,42 @@
     observer.record_grant(("boards", &third), (0, 99), 5, millis_after(now, 100));
     assert!(observer.violations()[0].starts_with("FENCE"));
 }
+
+#[test]
+fn requests_after_an_announcement_or_in_a_quiet_period_are_reported() {
+    let start = Instant::now();
+    let ok = Outcome::Response(200, true);
+    // Requests by one instance with the time at which each was sent; the first gets the notice.
+    let check = |notice, times: &[u64], events| {
+        let requests = times
+            .iter()
+            .enumerate()
+            .map(|(number, sent)| RequestRecord {
+                id: format!("r{number}"),
+                ..new_request(start, *sent, RequestKind::Lookup, ok)
+            });
+        let arrivals = times.iter().enumerate().map(|(number, sent)| Arrival {
+            request_id: format!("r{number}"),
+            notice: (number == 0).then_some(notice),
+            ..new_arrival(start, sent + 5, true)
+        });
+        let arrivals: Vec<Arrival> = arrivals.collect();
+        violation_prefixes(requests.collect(), events, &arrivals)
+    };
+    let restart = || {
+        vec![new_event(
+            start,
+            100,
+            Some(900),
+            EventKind::InstanceKill("i0".into()),
+        )]
+    };
+    assert!(check(Notice::Leaving, &[0, 2000], vec![]).is_empty());
+    assert_eq!(check(Notice::Leaving, &[0, 2400], vec![]), ["DRAIN"]);
+    assert!(check(Notice::Leaving, &[0, 2400], restart()).is_empty());
+    let quiet = Notice::Quiet(Duration::from_secs(2));
+    assert!(check(quiet, &[0, 300, 400, 500], vec![]).is_empty());
+    assert!(check(quiet, &[0, 900, 1000, 2100], vec![]).is_empty());
+    assert_eq!(check(quiet, &[0, 900, 1000, 1100], vec![]), ["BUDGET"]);
+    assert!(check(quiet, &[0, 900, 1000, 1100], restart()).is_empty());
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -39,16 +39,20 @@
 /// Seed and seconds of the short run.
 const SHORT_RUN: (u64, u64) = (7, 12);
 
+/// Seed and seconds of the short run with drills.
+const DRILL_RUN: (u64, u64) = (9_002, 12);
+
 /// Prefix of the violations listed in KNOWN-RED.txt: they are printed and do not fail the test.
 const KNOWN_VIOLATION: &str = "FAILBACK:";
 
-async fn check_guarantees(seed: u64, seconds: u64) {
+async fn check_guarantees(seed: u64, seconds: u64, drills: bool) {
     let options = RunOptions {
         program_path: run::find_program().expect("cowslipcross is built"),
         work_directory: run::work_directory_path(seed),
         seed,
         fault_time: Duration::from_secs(seconds),
         instance_count: 4,
+        drills,
     };
     let report = run::run_deployment(&options)
         .await
@@ -79,12 +83,18 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_faults() {
-    check_guarantees(SHORT_RUN.0, SHORT_RUN.1).await;
+    check_guarantees(SHORT_RUN.0, SHORT_RUN.1, false).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_in_drills() {
+    check_guarantees(DRILL_RUN.0, DRILL_RUN.1, true).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_that_failed_once_pass() {
-    let runs = FAILED_RUNS.map(|(seed, seconds, _)| tokio::spawn(check_guarantees(seed, seconds)));
+    let runs =
+        FAILED_RUNS.map(|(seed, seconds, _)| tokio::spawn(check_guarantees(seed, seconds, false)));
     for run in runs {
         run.await.expect("the run violates no guarantee");
     }
