fix(views): a report counts as cold once; changes of many targets go with a heartbeat

Ruled out: lost permits, keys without an owner, a data centre that stayed withdrawn (the logs show none). On the platform a target that is cut off from the store while it is cold could cause the same until its report expires.

Change: reports carry the platform's number; only a report with another number may make a target cold again.

--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -243,17 +243,24 @@
         views
     }
 
-    /// Returns whether a report differs from the last one by more than the passing of cold time.
+    /// Returns whether a report differs from the last one by more than its number and the passing of
+    /// cold time.
     fn is_changed(&self, new_report: &TargetReport, now: Instant) -> bool {
         let Some(view) = self.views.get(&new_report.id) else {
             return true;
         };
         let known = TargetReport {
             cold_remaining: new_report.cold_remaining,
+            sequence: new_report.sequence,
             ..(*view.report).clone()
         };
+        if known != *new_report {
+            return true;
+        }
+        // The cold time counts from the first read of a report, not from each.
+        let is_same_report = view.report.sequence == new_report.sequence;
         let cold_end = view.cold_until.unwrap_or(now).max(now);
-        known != *new_report || now + new_report.cold_remaining > cold_end + COLD_TOLERANCE
+        !is_same_report && now + new_report.cold_remaining > cold_end + COLD_TOLERANCE
     }
 }
 
--- a/crates/cowslipcross/src/views/target_snapshot_tests.rs
+++ b/crates/cowslipcross/src/views/target_snapshot_tests.rs
@@ -18,6 +18,7 @@
         draining,
         cold_remaining: Duration::ZERO,
         incarnation,
+        sequence: 1,
     }
 }
 
@@ -114,3 +115,23 @@
     let gone = read(&same_era, vec![], (2, 42), at(3000));
     assert!(gone.get("a").is_none());
 }
+
+#[test]
+fn a_report_that_is_not_written_again_makes_its_target_cold_only_once() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let cold = |sequence| TargetReport {
+        cold_remaining: Duration::from_secs(2),
+        sequence,
+        ..report(1, false)
+    };
+    let is_cold =
+        |snapshot: &TargetSnapshot, now| snapshot.get("a").is_some_and(|it| it.is_cold(now));
+    let first = read(&TargetSnapshot::empty(), vec![cold(1)], (0, 5), start);
+    assert!(is_cold(&first, at(1900)));
+    let same = read(&first, vec![cold(1)], (0, 6), at(1900));
+    assert!(!is_cold(&same, at(2100)));
+    // The target has become cold again.
+    let again = read(&same, vec![cold(2)], (0, 7), at(2500));
+    assert!(is_cold(&again, at(4400)));
+}
--- a/crates/cowslipcross/src/views/target_updates.rs
+++ b/crates/cowslipcross/src/views/target_updates.rs
@@ -15,8 +15,12 @@
 
 /// Number of heartbeats that include a change, as one of them may be lost.
 const MAX_CHANGE_SENDS: u32 = 2;
-/// Maximum number of changed targets in a heartbeat; followers read more from the store.
-const MAX_CHANGED_TARGETS: usize = 120;
+/// Changes of more targets are included in one heartbeat only: a follower that misses it reads them
+/// from the store.
+const LARGE_CHANGE: usize = 120;
+/// Maximum number of changed targets in a heartbeat, which they extend by some 50 bytes each;
+/// followers read more from the store.
+const MAX_CHANGED_TARGETS: usize = 700;
 
 /// Changed targets by id, with their new report; `None` for a removed target.
 pub type TargetChanges = BTreeMap<Name, Option<TargetReport>>;
@@ -52,9 +56,9 @@
 }
 
 /// Service, address, data centre, slots, whether it drains, milliseconds for which it stays cold,
-/// incarnation.
+/// incarnation, number of the report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct WireTarget(Name, SocketAddr, Name, u64, bool, u64, u64);
+pub struct WireTarget(Name, SocketAddr, Name, u64, bool, u64, u64, u64);
 
 impl From<&TargetReport> for WireTarget {
     fn from(target: &TargetReport) -> Self {
@@ -66,6 +70,7 @@
             target.draining,
             target.cold_remaining.as_millis() as u64,
             target.incarnation,
+            target.sequence,
         )
     }
 }
@@ -73,7 +78,8 @@
 impl WireTarget {
     /// Returns the report of the target with this id.
     fn into_report(self, id: Name) -> TargetReport {
-        let Self(service, address, data_centre, slots, draining, cold_ms, incarnation) = self;
+        let Self(service, address, data_centre, slots, draining, cold_ms, incarnation, sequence) =
+            self;
         TargetReport {
             id,
             service,
@@ -83,6 +89,7 @@
             draining,
             cold_remaining: Duration::from_millis(cold_ms),
             incarnation,
+            sequence,
         }
     }
 }
@@ -111,7 +118,11 @@
     /// Returns the next heartbeat's part about a snapshot and counts the updates in it as sent.
     pub fn next_message(&mut self, snapshot: &TargetSnapshot, now: Instant) -> TargetUpdateMessage {
         self.clear_unless_latest(snapshot.changed_version());
-        self.0.retain(|update| update.send_count < MAX_CHANGE_SENDS);
+        // An update applies only to the version of the one before it, so that no gap may arise.
+        let is_sent = |update: &TargetUpdate| update.send_count >= max_sends(update);
+        if let Some(last_sent) = self.0.iter().rposition(is_sent) {
+            self.0.drain(..=last_sent);
+        }
         let mut merged = TargetChanges::new();
         for update in &mut self.0 {
             update.send_count += 1;
@@ -135,6 +146,13 @@
     }
 }
 
+fn max_sends(update: &TargetUpdate) -> u32 {
+    match update.targets.len() > LARGE_CHANGE {
+        true => 1,
+        false => MAX_CHANGE_SENDS,
+    }
+}
+
 impl TargetUpdates {
     /// Drops all updates unless the last one led to `version`: changes in between came from another
     /// leader.
