feat(lead, views): fewer calls to the store while there is no leader

Without a leader all 195 instances read the router's table every 0.6 s, although the row they know is not free yet, and restart their call for the configuration after 2.9 s even if heartbeats were missing for a moment only.

Change: the row is searched for another leader only once the known lease is over, by later members less often; a waiting call for the configuration is given up when heartbeats have been missing for 2.9 s; tasks that wait for the store retry every 4.8 s at most, as the election's first answer ends their wait.

--- a/crates/cowslipcross/src/lead/leader_row.rs
+++ b/crates/cowslipcross/src/lead/leader_row.rs
@@ -32,12 +32,13 @@
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Longest time between two steps of the election.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two reads in search of a leader, while no heartbeats arrive.
+/// Time between two reads in search of a leader, while no heartbeats arrive; a member adds the delay
+/// of its position, as the first ones are the likeliest to find the row free.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(600);
 /// Shortest time between two reads.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(150);
 /// Longest time between two reads after failed ones.
-const MAX_READ_INTERVAL: Duration = Duration::from_millis(1200);
+const MAX_READ_INTERVAL: Duration = Duration::from_millis(2400);
 /// Delay of a member's search for a leader and of its claim to a free row, per position in the
 /// membership, and its limit. Usually the first member claims the row, and the others learn of it
 /// from its heartbeats.
@@ -142,10 +143,8 @@
             .election
             .borrow_mut()
             .next_action(clock::local_time(), claim_delay);
-        let is_search_due = !was_leader
-            && is_leader_missing(&context)
-            && reads.last_read.elapsed() >= SEARCH_INTERVAL
-            && reads.is_due(&context);
+        let is_search_due =
+            !was_leader && reads.is_due(&context) && is_search_due(&context, &reads);
         let can_claim = paused_until <= Instant::now() && context.stopping_since.get().is_none();
         match action {
             ElectionAction::Write { version } if can_claim => write_row(&context, version).await,
@@ -195,6 +194,14 @@
     }
 }
 
+/// Returns whether to read the row in search of a leader: heartbeats are missing, and the lease of
+/// the last known leader is over.
+fn is_search_due(context: &Context, reads: &ReadSchedule) -> bool {
+    let interval = SEARCH_INTERVAL + position_delay(context, Duration::ZERO);
+    let is_row_free = context.election.borrow().is_row_free(clock::local_time());
+    is_row_free && is_leader_missing(context) && reads.last_read.elapsed() >= interval
+}
+
 /// Returns whether heartbeats are missing for longer than preceding members need to claim the row.
 fn is_leader_missing(context: &Context) -> bool {
     let timeout = HEARTBEAT_TIMEOUT + position_delay(context, Duration::ZERO);
--- a/crates/cowslipcross/src/views/config.rs
+++ b/crates/cowslipcross/src/views/config.rs
@@ -90,8 +90,11 @@
         if context.is_config_stale() {
             sleep(STALE_GRACE).await;
         }
-        let is_overdue =
-            !context.is_follower() && started_at.elapsed() > LONG_POLL_TIME + CALL_TIMEOUT;
+        // A change of the leader takes less than this.
+        let limit = LONG_POLL_TIME + CALL_TIMEOUT;
+        let last_heartbeat = context.last_heartbeat.get();
+        let is_overdue = started_at.elapsed() > limit
+            && (context.is_leader() || last_heartbeat.is_none_or(|at| at.elapsed() > limit));
         if is_overdue || context.is_config_stale() {
             return;
         }
--- a/crates/cowslipcross/src/views/store_health.rs
+++ b/crates/cowslipcross/src/views/store_health.rs
@@ -11,7 +11,7 @@
 const CALL_RETRY_DELAY: Duration = Duration::from_millis(600);
 /// Upper bound of the delay. Without a leader, the leader election calls the store more often, and
 /// its first answered call ends the delays of all tasks.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(2400);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(4800);
 
 /// Range of random factors of a delay.
 const JITTER_FACTOR: RangeInclusive<f64> = 0.6..=1.0;
--- a/crates/decide/src/election.rs
+++ b/crates/decide/src/election.rs
@@ -196,6 +196,13 @@
         })
     }
 
+    /// Returns whether the row may be claimed by anyone now, as far as this instance knows. Until then,
+    /// a read of the row would not find another leader.
+    pub fn is_row_free(&self, now: LocalTime) -> bool {
+        let row = self.row.as_ref();
+        row.is_none_or(|(row, known_since)| self.row_free_time(row, *known_since) <= now.monotonic)
+    }
+
     /// Returns what to do next; gives up the leadership first if the lease has ended.
     pub fn next_action(&mut self, now: LocalTime, claim_delay: ClaimDelay) -> ElectionAction {
         if self.lease.is_some() && !self.is_leader(now) {
--- a/crates/decide/tests/election.rs
+++ b/crates/decide/tests/election.rs
@@ -480,6 +480,42 @@
     );
 }
 
+#[test]
+fn a_row_is_free_once_its_lease_is_over() {
+    let start = Instant::now();
+    let local_time = |millis: u64| LocalTime {
+        monotonic: start + Duration::from_millis(millis),
+        since_boot: Duration::from_millis(millis),
+    };
+    let mut election = LeaderElection::new(LEASE_TTL);
+    assert!(election.is_row_free(local_time(0)), "no row is known");
+    let row = LeaderRow {
+        version: version(7),
+        is_own: false,
+        released: false,
+        lease_start: Some(Duration::from_secs(50)),
+    };
+    // 2,000 ms of the lease TTL of 2,400 ms have passed.
+    let timestamp = StoreTimestamp {
+        store_time: Duration::from_secs(52),
+        sent_at: local_time(0),
+    };
+    election.apply_row(row.clone(), local_time(0), Some(timestamp));
+    assert!(!election.is_row_free(local_time(399)));
+    assert!(election.is_row_free(local_time(400)));
+    // A renewal that a heartbeat tells.
+    election.apply_heartbeat(version(8), local_time(500));
+    assert!(!election.is_row_free(local_time(2899)));
+    assert!(election.is_row_free(local_time(2900)));
+    let released = LeaderRow {
+        version: version(9),
+        released: true,
+        ..row
+    };
+    election.apply_row(released, local_time(600), None);
+    assert!(election.is_row_free(local_time(600)));
+}
+
 #[test]
 fn a_row_older_than_the_lease_ttl_by_the_store_clock_is_claimed_at_once() {
     // After a restart of all instances none has known the row for a lease TTL.
