--- a/crates/cowslipcross/src/views/store_health.rs
+++ b/crates/cowslipcross/src/views/store_health.rs
@@ -9,9 +9,9 @@
 
 /// Delay after a failed call; multiplied by the number of failures in a row.
 const CALL_RETRY_DELAY: Duration = Duration::from_millis(600);
-/// Upper bound of the delay. Without a leader, the leader election calls the store more often, and
-/// its first answered call ends the delays of all tasks.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(4800);
+/// Upper bound of the delay: an instance has to apply a configuration within some 3 s of the time from
+/// which the store answers it again.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(2400);
 
 /// Range of random factors of a delay.
 const JITTER_FACTOR: RangeInclusive<f64> = 0.6..=1.0;
@@ -46,10 +46,18 @@
 
     /// Waits for the retry delay, or until the store answers another task.
     pub async fn wait_to_retry(&self, context: &Context) {
-        let delay = (CALL_RETRY_DELAY * self.failures.max(1)).min(MAX_RETRY_DELAY);
         // Instances whose calls failed together must not retry together.
-        let delay = delay.mul_f64(rand::random_range(JITTER_FACTOR));
+        let delay = retry_delay(self.failures).mul_f64(rand::random_range(JITTER_FACTOR));
         // The task retries in either case.
         let _ = timeout(delay, context.store_recovered.notified()).await;
     }
 }
+
+/// Returns the longest delay after so many failures in a row.
+fn retry_delay(failures: u32) -> Duration {
+    (CALL_RETRY_DELAY * failures.max(1)).min(MAX_RETRY_DELAY)
+}
+
+#[cfg(test)]
+#[path = "store_health_tests.rs"]
+mod tests;
