--- a/crates/cowslipcross/src/lead/leader_loop.rs
+++ b/crates/cowslipcross/src/lead/leader_loop.rs
@@ -60,7 +60,7 @@
 const TARGETS_PER_TRANSFER: usize = 8;
 /// Bound on transfers times targets in one rebalance, except that one transfer is always allowed:
 /// each transfer is chosen among all targets.
-const MAX_TARGET_CHECKS: usize = 31_000;
+const MAX_TARGET_CHECKS: usize = 10_000;
 
 /// Bounds of a target's speed in relation to the mean.
 const MIN_SPEED: f64 = 0.2;
--- a/crates/decide/src/owners/rebalance.rs
+++ b/crates/decide/src/owners/rebalance.rs
@@ -14,25 +14,17 @@
 const DECAY_TIME: Duration = Duration::from_secs(3);
 /// Load in requests that each key has without traffic, so that keys are spread before there is any.
 const IDLE_KEY_LOAD: f64 = 0.0005;
-/// Weight in requests above which a key's own requests tell its load; those of other keys are mostly
-/// chance.
-const BUSY_KEY_WEIGHT: f64 = 1.5;
-/// Weight of the mean load of the keys that are not busy, in relation to the requests counted for them.
-const MEAN_LOAD_WEIGHT: f64 = 1.0;
 /// Ratio of a target's load to the mean, both relative to capacity, from which keys are moved.
 const MIN_IMBALANCE: f64 = 1.25;
 /// Smallest part of the mean load that is worth a transfer.
 const MIN_MOVED_SHARE: f64 = 0.08;
-/// Square roots of its load by which a target must exceed the mean, to rule out chance. The load of
-/// keys that are not busy varies by half a square root, as half of it is assumed.
-const MIN_DEVIATIONS: f64 = 0.6;
+/// Standard deviations by which a target's load must exceed the mean, to rule out chance.
+const MIN_DEVIATIONS: f64 = 1.2;
 /// Assignments for each target from which on none is split for a transfer.
 const MAX_ASSIGNMENTS_PER_TARGET: usize = 6;
 /// Second limit, the lower one for large services, as each assignment costs the leader a renewal:
 /// the first number, plus the second one for each target.
 const LARGE_SERVICE_ASSIGNMENTS: (usize, usize) = (200, 2);
-/// Number of keys of a service.
-const KEY_COUNT: f64 = 65_536.0;
 /// Weight in requests at or below which a key's entry is removed.
 const MIN_TRACKED_WEIGHT: f64 = 0.02;
 
@@ -40,8 +32,6 @@
 #[derive(Debug, Default)]
 pub struct KeyLoads {
     weights: BTreeMap<u16, f64>,
-    /// Mean weight of the keys that are not busy, as of the last decay.
-    mean_weight: f64,
     decayed_at: Option<Instant>,
 }
 
@@ -74,8 +64,6 @@
             *weight *= factor;
             *weight > MIN_TRACKED_WEIGHT
         });
-        let others = self.weights.values().filter(|it| !is_busy(**it));
-        self.mean_weight = others.sum::<f64>() / KEY_COUNT;
     }
 
     /// Returns the keys that have got requests lately, with the requests per second.
@@ -84,21 +72,15 @@
         weights.map(|(key, weight)| (*key, weight / DECAY_TIME.as_secs_f64()))
     }
 
-    /// Returns the expected load of a range of keys, `last` included.
-    ///
-    /// A target gets only some ten requests within the decay time, so that the count for its keys
-    /// says little. Keys that are not busy are therefore assumed to be alike in part.
+    /// Returns the load of a range of keys, `last` included.
     pub fn range_load(&self, first: u16, last: u16) -> f64 {
-        let (mut busy, mut others) = (0.0, 0.0);
-        for (_, weight) in self.weights.range(first..=last) {
-            match is_busy(*weight) {
-                true => busy += weight,
-                false => others += weight,
-            }
-        }
-        let count = f64::from(u32::from(last) - u32::from(first) + 1);
-        let expected = MEAN_LOAD_WEIGHT * self.mean_weight * count;
-        busy + (others + expected) / (1.0 + MEAN_LOAD_WEIGHT) + IDLE_KEY_LOAD * count
+        let counted: f64 = self
+            .weights
+            .range(first..=last)
+            .map(|(_, weight)| weight)
+            .sum();
+        let count = u32::from(last) - u32::from(first) + 1;
+        counted + IDLE_KEY_LOAD * f64::from(count)
     }
 
     /// Returns the first key of the upper half by load of an assignment of at least two keys.
@@ -138,11 +120,6 @@
     }
 }
 
-/// Returns whether a key's own requests tell its load.
-fn is_busy(weight: f64) -> bool {
-    weight > BUSY_KEY_WEIGHT
-}
-
 /// Targets ordered by the ratio of load to capacity.
 #[derive(Debug)]
 pub struct TargetsByLoad {
