refactor(lead, permits): files by job

leader_row.rs (625 lines) becomes election_loop (when to read, claim, release), leader_row (content of the row), row_reader and row_writer; reports of instances leave leader_loop for peer_reports; permits.rs becomes the pool, the state of a target and its failures. The tests find the leader in one way. Behaviour is the same: items were moved, and a constructor and success_rate named.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -4,7 +4,7 @@
     crate::{
         clock,
         events::{EventCode, EventFields, EventLog, Origin, logger},
-        lead::leader_loop::{LeaderState, PeerReports},
+        lead::{leader_loop::LeaderState, peer_reports::PeerReports},
         metrics::Metrics,
         peers::{datagram::PeerSocket, membership::Membership},
         serve::{
--- a/crates/cowslipcross/src/instance.rs
+++ b/crates/cowslipcross/src/instance.rs
@@ -11,7 +11,7 @@
         context::Context,
         endpoints,
         events::{self, EventFields},
-        lead::{leader_loop, leader_row},
+        lead::{election_loop, leader_loop},
         peers::{datagram, heartbeat_protocol},
         serve::{permits, server},
         stop,
@@ -76,7 +76,7 @@
     spawn_local(datagram::receive_messages(context.clone()));
     spawn_local(heartbeat_protocol::send_reports(context.clone()));
     spawn_local(permits::process_queues(context.clone()));
-    spawn_local(leader_row::run_election(context.clone()));
+    spawn_local(election_loop::run_election(context.clone()));
     spawn_local(leader_loop::run(context.clone()));
     spawn_local(report_skipped_events(context.clone()));
     spawn_local(reload_settings(context.clone(), path, overrides, reload));
--- a/crates/cowslipcross/src/lead/assignment_recorder.rs
+++ b/crates/cowslipcross/src/lead/assignment_recorder.rs
@@ -7,7 +7,8 @@
         events,
         lead::{
             leader_loop::{LeaderState, ServiceState},
-            leader_row::{self, RecordingOutcome},
+            row_reader,
+            row_writer::{self, RecordingOutcome},
             target_status::TargetStatus,
         },
     },
@@ -92,7 +93,7 @@
         let renewed = self.context.election.borrow().row_version() > version_at_write
             && self.context.is_leader();
         renewed
-            && leader_row::refresh_router_table(&self.context).await
+            && row_reader::refresh_router_table(&self.context).await
             && self.compare_with_store(&table)
     }
 
@@ -139,7 +140,7 @@
         let Some((version, table)) = proposal.flatten() else {
             return false;
         };
-        match leader_row::record_assignments(&self.context, &self.name, version, &table).await {
+        match row_writer::record_assignments(&self.context, &self.name, version, &table).await {
             RecordingOutcome::Recorded => self.finish_recording(&table),
             RecordingOutcome::NotRecorded => false,
             RecordingOutcome::Unknown => {
--- a/crates/cowslipcross/src/lead/leader_loop.rs
+++ b/crates/cowslipcross/src/lead/leader_loop.rs
@@ -10,16 +10,12 @@
             command_sender::{self, CommandSender},
             target_status::{TargetStatus, target_statuses},
         },
-        peers::{
-            heartbeat_protocol::{self, MemberReport, MemberReports},
-            membership::{Member, Membership},
-            message::InstanceReport,
-        },
+        peers::heartbeat_protocol,
     },
     cowslip_decide::{
         names::{Fence, Name, StoreVersion},
         owners::{
-            AssignmentManager, AssignmentTable, Candidate, CommandTiming, HotKeyPlacer, KeyLoads,
+            AssignmentManager, AssignmentTable, Candidate, CommandTiming, HotKeyPlacer,
             TargetCapacities, TargetIncarnation, Transfer, rebalance,
         },
     },
@@ -61,7 +57,6 @@
 /// Bound on transfers times targets in one rebalance, except that one transfer is always allowed:
 /// each transfer is chosen among all targets.
 const MAX_TARGET_CHECKS: usize = 10_000;
-
 /// Bounds of a target's speed in relation to the mean.
 const MIN_SPEED: f64 = 0.2;
 const MAX_SPEED: f64 = 2.0;
@@ -120,17 +115,6 @@
     }
 }
 
-/// Latest reports of the instances to the leader.
-#[derive(Debug, Default)]
-pub struct PeerReports {
-    /// Load of keys by service.
-    key_loads: BTreeMap<Name, KeyLoads>,
-    /// Mean service time of targets in milliseconds.
-    service_times: BTreeMap<Name, u32>,
-    /// Last report of each member.
-    pub members: MemberReports,
-}
-
 /// Returns the time after which no grant is in force if this leader sends no more.
 ///
 /// It is `None` while a service's earlier grants have not been taken into account since this
@@ -153,73 +137,6 @@
     longest.filter(|_| is_current)
 }
 
-impl PeerReports {
-    /// Returns the mean of the reported service times of targets; `None` if there are none.
-    fn mean_service_time(&self, targets: &TargetCapacities) -> Option<Duration> {
-        let times = targets
-            .keys()
-            .filter_map(|id| self.service_times.get(id).copied());
-        let times: Vec<u32> = times.collect();
-        let sum = Duration::from_millis(times.iter().map(|it| u64::from(*it)).sum());
-        (!sum.is_zero()).then(|| sum / times.len() as u32)
-    }
-
-    /// Returns the loads of a service's keys.
-    pub fn key_loads(&mut self, service: &Name) -> &mut KeyLoads {
-        self.key_loads.entry(service.clone()).or_default()
-    }
-}
-
-/// Returns the member with the greatest weight among the other instances that reach the store.
-pub fn find_successor(context: &Context) -> Option<Member> {
-    let own = context.settings.listen.heartbeats;
-    let reports = context.peer_reports.borrow();
-    let candidates = reports.members.iter();
-    let candidates =
-        candidates.filter(|(address, report)| report.store_reachable && **address != own);
-    let members = candidates.map(|(address, report)| Member {
-        address: *address,
-        weight: report.weight,
-    });
-    Membership::new(members.collect()).strongest_except(own)
-}
-
-/// Adds the members known from the previous leader, so that heartbeats reach them before their
-/// first reports to the new one.
-pub fn add_known_members(context: &Context) {
-    let mut reports = context.peer_reports.borrow_mut();
-    let now = Instant::now();
-    for member in context.membership.borrow().members() {
-        let member_report = MemberReport {
-            weight: member.weight,
-            store_reachable: false,
-            received_at: now,
-        };
-        reports
-            .members
-            .entry(member.address)
-            .or_insert(member_report);
-    }
-}
-
-/// Applies an instance's report.
-pub fn apply_report(context: &Context, from: SocketAddr, report: InstanceReport) {
-    let mut reports = context.peer_reports.borrow_mut();
-    let member_report = MemberReport {
-        weight: report.weight,
-        store_reachable: report.store_reachable,
-        received_at: Instant::now(),
-    };
-    reports.members.insert(from, member_report);
-    reports.service_times.extend(report.service_times);
-    for (service, keys) in report.key_counts {
-        let key_loads = reports.key_loads.entry(service).or_default();
-        for (key, requests) in keys {
-            key_loads.add_requests(key, f64::from(requests));
-        }
-    }
-}
-
 /// Runs the leader loop; does nothing while this instance does not lead.
 pub async fn run(context: Rc<Context>) {
     let state = context.leader_state.clone();
--- a/crates/cowslipcross/src/lead/restoration.rs
+++ b/crates/cowslipcross/src/lead/restoration.rs
@@ -10,7 +10,7 @@
         events,
         lead::{
             assignment_rows::{self, AssignmentRowValue, OWNERS_PREFIX},
-            leader_row,
+            leader_row, row_writer,
         },
     },
     cowslip_adapter::store::CommitOutcome,
@@ -49,7 +49,7 @@
     let result = commit.await;
     drop(guard);
     context.metrics.count_store_call("record", result.is_ok());
-    leader_row::apply_write_result(context, (timestamp, sent_at), &result);
+    row_writer::apply_write_result(context, (timestamp, sent_at), &result);
     if let Ok(CommitOutcome::Committed { version, .. }) = result {
         let mut all_recorded = context.recorded_assignments.borrow_mut();
         for recorded in all_recorded.values_mut() {
--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -5,7 +5,7 @@
         clock,
         context::Context,
         events::HybridTimestamp,
-        lead::leader_loop,
+        lead::peer_reports,
         peers::{
             assignments, datagram,
             membership::{self, Member, Membership},
@@ -95,7 +95,7 @@
     context.update_reported_version(report.config_version);
     let is_current = report.membership_hash == context.membership.borrow().hash();
     handle_leaving(context, report.leaving.clone());
-    leader_loop::apply_report(context, from, report);
+    peer_reports::apply_report(context, from, report);
     if context.is_leader() && !is_current {
         let text = context.membership.borrow().to_text();
         datagram::try_send(context, &Message::Members(text), from);
--- a/crates/cowslipcross/src/stop.rs
+++ b/crates/cowslipcross/src/stop.rs
@@ -4,7 +4,7 @@
     crate::{
         context::Context,
         events::{self, EventFields},
-        lead::leader_row,
+        lead::row_writer,
         serve::server::CallerConnections,
     },
     std::time::Duration,
@@ -38,7 +38,7 @@
     context
         .events
         .record(events::SHUTDOWN_STARTED, EventFields::default());
-    leader_row::resign(context).await;
+    row_writer::resign(context).await;
     sleep_until(deadline.min(started + ACCEPT_DURATION)).await;
     accept_task.abort();
     connections.close_idle();
--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -222,6 +222,17 @@
         sleep(Duration::from_millis(1200)).await;
     }
 
+    /// Returns the index of the instance that leads.
+    pub async fn find_leader(&self) -> usize {
+        for (index, instance) in self.instances.iter().enumerate() {
+            let metrics = instance.metrics().await;
+            if metrics.contains("\ncowslipcross_leads 1\n") {
+                return index;
+            }
+        }
+        panic!("no instance leads");
+    }
+
     /// Returns how many targets have a grant for a key.
     pub fn owner_count(&self, key: u64) -> usize {
         self.boards
--- a/crates/cowslipcross/tests/instance/requests.rs
+++ b/crates/cowslipcross/tests/instance/requests.rs
@@ -113,21 +113,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_are_served_again_after_the_leader_is_killed() {
     let mut deployment = Deployment::start(3, 3, 2, PROCESSING_TIME).await;
-    let mut leader = None;
-    for (index, instance) in deployment.instances.iter().enumerate() {
-        if instance
-            .metrics()
-            .await
-            .contains("\ncowslipcross_leads 1\n")
-        {
-            leader = Some(index);
-        }
-    }
-    drop(
-        deployment
-            .instances
-            .remove(leader.expect("one instance leads")),
-    );
+    let leader = deployment.find_leader().await;
+    drop(deployment.instances.remove(leader));
     // A target drains: only a new leader can assign its keys to others.
     let draining = deployment.boards.remove(0);
     draining.publish_report(&deployment.store, "draining");
--- a/crates/cowslipcross/tests/instance/restoration.rs
+++ b/crates/cowslipcross/tests/instance/restoration.rs
@@ -89,17 +89,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_get_new_owners_only_after_unknown_grants_if_the_leader_is_lost_as_well() {
     let mut deployment = Deployment::start(3, 3, 2, PROCESSING_TIME).await;
-    let mut leader = None;
-    for (index, instance) in deployment.instances.iter().enumerate() {
-        if instance
-            .metrics()
-            .await
-            .contains("\ncowslipcross_leads 1\n")
-        {
-            leader = Some(index);
-        }
-    }
-    let leader = leader.expect("one instance leads");
+    let leader = deployment.find_leader().await;
     let restored_at = lose_last_writes(&deployment, async {
         drain_first_target(&deployment).await;
         deployment.instances[leader].signal("KILL");
--- a/crates/decide/src/permits.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -5,37 +5,18 @@
 //! targets shed requests or queue them by arrival instead of priority. Permits only save time and
 //! guarantee nothing else: an instance whose coordinator does not answer sends without one.
 
+mod failures;
+mod target_state;
+
 use {
-    crate::{
-        limits::TokenBucket,
-        names::Name,
-        service_time::{self, ServiceTime, TargetEstimate},
-    },
+    crate::{limits::TokenBucket, names::Name, service_time},
     std::{collections::BTreeMap, time::Duration},
+    target_state::{Permit, Rank, TargetState},
     tokio::time::Instant,
 };
 
-/// Requests beyond its slots that a target gets while others wait, so that the next one is at hand
-/// when a slot becomes free.
-const REQUESTS_BEYOND_SLOTS: u32 = 1;
 /// Time from a request's deadline until its permit expires if it was not returned.
 const PERMIT_GRACE: Duration = Duration::from_millis(300);
-/// Time for which a target gets no requests after a failure to connect to it.
-const CONNECT_FAILURE_PAUSE: Duration = Duration::from_millis(700);
-/// Time for which a target gets no more requests after it shed one, unless it answers another.
-const SHED_PAUSE: Duration = Duration::from_millis(100);
-/// Age from which a reported slowdown is ignored.
-const MAX_SLOWDOWN_AGE: Duration = Duration::from_millis(300);
-/// Weight of a response in the moving average of a target's failures.
-const FAILURE_WEIGHT: f64 = 0.25;
-/// Part of its responses that are failures from which a target is avoided.
-const MAX_FAILURE_RATE: f64 = 0.3;
-/// Time after a failure for which such a target is avoided, and its upper bound; it doubles with each
-/// further failure in a row.
-const FAILURE_PAUSE: Duration = Duration::from_millis(500);
-const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(4);
-/// Smallest part of successful responses that a target's service time is divided by.
-const MIN_SUCCESS_RATE: f64 = 0.2;
 /// Part of the time left until the latency goal within which a target in the data centre of the
 /// instance that asks has to be expected to answer to be preferred. Response times vary, so that a
 /// target closer to the goal would often miss it.
@@ -122,41 +103,6 @@
     queue: Vec<(PermitRequestId<A>, PermitRequest)>,
 }
 
-#[derive(Debug)]
-struct TargetState<A: Ord> {
-    info: PoolTarget,
-    permits: BTreeMap<PermitRequestId<A>, Permit>,
-    service_time: ServiceTime,
-    /// Slowdown as last reported, and when.
-    slowdown: Option<(f64, Instant)>,
-    /// End of the pause after a failure to connect.
-    connect_pause: Option<Instant>,
-    /// End of the pause after a shed request.
-    shed_pause: Option<Instant>,
-    /// Instances from which the target wants no requests, with the ends of these times.
-    quiet_periods: BTreeMap<A, Instant>,
-    failures: Failures,
-    cold_tokens: Option<TokenBucket>,
-}
-
-/// Failures among the responses of a target. A target that fails at once would else seem to be the
-/// fastest one and get most requests.
-#[derive(Debug, Default)]
-struct Failures {
-    /// Moving average of the part of responses that are failures.
-    rate: f64,
-    /// Failures since the last success.
-    in_a_row: u32,
-    /// End of the time for which the target is avoided.
-    avoid_until: Option<Instant>,
-}
-
-#[derive(Debug)]
-struct Permit {
-    granted_at: Instant,
-    expires_at: Instant,
-}
-
 impl<A: Ord + Clone> Default for Pool<A> {
     fn default() -> Self {
         Self {
@@ -175,17 +121,7 @@
             let target = self
                 .targets
                 .entry(name.clone())
-                .or_insert_with(|| TargetState {
-                    info: info.clone(),
-                    permits: BTreeMap::new(),
-                    service_time: ServiceTime::default(),
-                    slowdown: None,
-                    connect_pause: None,
-                    shed_pause: None,
-                    quiet_periods: BTreeMap::new(),
-                    failures: Failures::default(),
-                    cold_tokens: None,
-                });
+                .or_insert_with(|| TargetState::new(info.clone()));
             target.info = info.clone();
             match info.cold_rate {
                 None => target.cold_tokens = None,
@@ -215,8 +151,7 @@
     /// before its first one.
     pub fn service_time(&self, target: &str) -> Option<f64> {
         let target = self.targets.get(target)?;
-        let success_rate = (1.0 - target.failures.rate).max(MIN_SUCCESS_RATE);
-        Some(target.service_time.seconds()? / success_rate)
+        Some(target.service_time.seconds()? / target.failures.success_rate())
     }
 
     /// Grants a permit, or queues or refuses the request; the reply to a repeated request tells its
@@ -424,100 +359,3 @@
         }
     }
 }
-
-/// Order in which targets are considered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Rank {
-    /// In the data centre of the instance that asks, and expected to meet the latency goal.
-    Preferred,
-    Usual,
-    /// Has failed to serve requests.
-    Failing,
-}
-
-impl Failures {
-    fn record_success(&mut self) {
-        self.rate -= FAILURE_WEIGHT * self.rate;
-        self.in_a_row = 0;
-        self.avoid_until = None;
-    }
-
-    fn record_failure(&mut self, now: Instant) {
-        self.rate += FAILURE_WEIGHT * (1.0 - self.rate);
-        self.in_a_row += 1;
-        if self.rate > MAX_FAILURE_RATE {
-            let doublings = self.in_a_row.saturating_sub(1).min(3);
-            let pause = (FAILURE_PAUSE * (1 << doublings)).min(MAX_FAILURE_PAUSE);
-            self.avoid_until = Some(now + pause);
-        }
-    }
-
-    fn is_avoided(&self, now: Instant) -> bool {
-        self.avoid_until.is_some_and(|until| until > now)
-    }
-}
-
-impl<A: Ord> TargetState<A> {
-    fn can_accept(&self, has_queue: bool, now: Instant) -> bool {
-        let is_paused = |until: Option<Instant>| until.is_some_and(|until| until > now);
-        if is_paused(self.connect_pause) || is_paused(self.shed_pause) {
-            return false;
-        }
-        let extra = if has_queue { REQUESTS_BEYOND_SLOTS } else { 0 };
-        (self.permits.len() as u32) < self.info.slots + extra
-    }
-
-    /// Returns whether the target wants no requests from an instance now.
-    fn is_quiet(&self, instance: &A, now: Instant) -> bool {
-        let end = self.quiet_periods.get(instance);
-        end.is_some_and(|end| *end > now)
-    }
-
-    /// Returns the expected response time in seconds; `mean` stands in for a service time that is
-    /// not known yet.
-    fn response_time(&self, request: &PermitRequest, mean: f64, now: Instant) -> f64 {
-        let slowdown = match self.slowdown {
-            Some((slowdown, time)) if now - time < MAX_SLOWDOWN_AGE => slowdown.clamp(0.5, 5.0),
-            _ => 1.0,
-        };
-        let estimate = TargetEstimate {
-            service_time: self.service_time.seconds().unwrap_or(mean),
-            in_flight: self.permits.len() as f64,
-            slots: self.info.slots,
-            slowdown,
-            is_local: self.is_local(request),
-        };
-        estimate.response_time()
-    }
-
-    /// Returns whether the target is in the data centre of the instance that asks.
-    fn is_local(&self, request: &PermitRequest) -> bool {
-        request.data_centre == self.info.data_centre
-    }
-
-    /// Applies what `instance` reports about a request that took `time`.
-    fn record_report(&mut self, instance: &A, report: PermitReport, time: Duration, now: Instant)
-    where
-        A: Clone,
-    {
-        if let Some(slowdown) = report.slowdown {
-            self.slowdown = Some((slowdown, now));
-        }
-        if let Some(quiet_time) = report.quiet_time {
-            self.quiet_periods.retain(|_, end| *end > now);
-            self.quiet_periods
-                .insert(instance.clone(), now + quiet_time);
-        }
-        match report.outcome {
-            PermitOutcome::Served => {
-                self.service_time.record(time);
-                self.shed_pause = None;
-                self.failures.record_success();
-            }
-            PermitOutcome::ServerError | PermitOutcome::Broken => self.failures.record_failure(now),
-            PermitOutcome::Shed => self.shed_pause = Some(now + SHED_PAUSE),
-            PermitOutcome::NotConnected => self.connect_pause = Some(now + CONNECT_FAILURE_PAUSE),
-            PermitOutcome::Unused => {}
-        }
-    }
-}
--- /dev/null
+++ b/crates/decide/src/permits/target_state.rs
@@ -0,0 +1,141 @@
+//! What the coordinator of a pool knows of one of its targets.
+
+use {
+    super::{
+        PermitOutcome, PermitReport, PermitRequest, PermitRequestId, PoolTarget, failures::Failures,
+    },
+    crate::{
+        limits::TokenBucket,
+        service_time::{ServiceTime, TargetEstimate},
+    },
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Requests beyond its slots that a target gets while others wait, so that the next one is at hand
+/// when a slot becomes free.
+const REQUESTS_BEYOND_SLOTS: u32 = 1;
+/// Time for which a target gets no requests after a failure to connect to it.
+const CONNECT_FAILURE_PAUSE: Duration = Duration::from_millis(700);
+/// Time for which a target gets no more requests after it shed one, unless it answers another.
+const SHED_PAUSE: Duration = Duration::from_millis(100);
+/// Age from which a reported slowdown is ignored.
+const MAX_SLOWDOWN_AGE: Duration = Duration::from_millis(300);
+
+#[derive(Debug)]
+pub(super) struct TargetState<A: Ord> {
+    pub info: PoolTarget,
+    pub permits: BTreeMap<PermitRequestId<A>, Permit>,
+    pub service_time: ServiceTime,
+    /// Slowdown as last reported, and when.
+    slowdown: Option<(f64, Instant)>,
+    /// End of the pause after a failure to connect.
+    connect_pause: Option<Instant>,
+    /// End of the pause after a shed request.
+    shed_pause: Option<Instant>,
+    /// Instances from which the target wants no requests, with the ends of these times.
+    quiet_periods: BTreeMap<A, Instant>,
+    pub failures: Failures,
+    pub cold_tokens: Option<TokenBucket>,
+}
+
+#[derive(Debug)]
+pub(super) struct Permit {
+    pub granted_at: Instant,
+    pub expires_at: Instant,
+}
+
+/// Order in which targets are considered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Rank {
+    /// In the data centre of the instance that asks, and expected to meet the latency goal.
+    Preferred,
+    Usual,
+    /// Has failed to serve requests.
+    Failing,
+}
+
+impl<A: Ord> TargetState<A> {
+    /// Creates the state of a target of which nothing is known yet.
+    pub fn new(info: PoolTarget) -> Self {
+        Self {
+            info,
+            permits: BTreeMap::new(),
+            service_time: ServiceTime::default(),
+            slowdown: None,
+            connect_pause: None,
+            shed_pause: None,
+            quiet_periods: BTreeMap::new(),
+            failures: Failures::default(),
+            cold_tokens: None,
+        }
+    }
+
+    pub fn can_accept(&self, has_queue: bool, now: Instant) -> bool {
+        let is_paused = |until: Option<Instant>| until.is_some_and(|until| until > now);
+        if is_paused(self.connect_pause) || is_paused(self.shed_pause) {
+            return false;
+        }
+        let extra = if has_queue { REQUESTS_BEYOND_SLOTS } else { 0 };
+        (self.permits.len() as u32) < self.info.slots + extra
+    }
+
+    /// Returns whether the target wants no requests from an instance now.
+    pub fn is_quiet(&self, instance: &A, now: Instant) -> bool {
+        let end = self.quiet_periods.get(instance);
+        end.is_some_and(|end| *end > now)
+    }
+
+    /// Returns the expected response time in seconds; `mean` stands in for a service time that is
+    /// not known yet.
+    pub fn response_time(&self, request: &PermitRequest, mean: f64, now: Instant) -> f64 {
+        let slowdown = match self.slowdown {
+            Some((slowdown, time)) if now - time < MAX_SLOWDOWN_AGE => slowdown.clamp(0.5, 5.0),
+            _ => 1.0,
+        };
+        let estimate = TargetEstimate {
+            service_time: self.service_time.seconds().unwrap_or(mean),
+            in_flight: self.permits.len() as f64,
+            slots: self.info.slots,
+            slowdown,
+            is_local: self.is_local(request),
+        };
+        estimate.response_time()
+    }
+
+    /// Returns whether the target is in the data centre of the instance that asks.
+    pub fn is_local(&self, request: &PermitRequest) -> bool {
+        request.data_centre == self.info.data_centre
+    }
+
+    /// Applies what `instance` reports about a request that took `time`.
+    pub fn record_report(
+        &mut self,
+        instance: &A,
+        report: PermitReport,
+        time: Duration,
+        now: Instant,
+    ) where
+        A: Clone,
+    {
+        if let Some(slowdown) = report.slowdown {
+            self.slowdown = Some((slowdown, now));
+        }
+        if let Some(quiet_time) = report.quiet_time {
+            self.quiet_periods.retain(|_, end| *end > now);
+            self.quiet_periods
+                .insert(instance.clone(), now + quiet_time);
+        }
+        match report.outcome {
+            PermitOutcome::Served => {
+                self.service_time.record(time);
+                self.shed_pause = None;
+                self.failures.record_success();
+            }
+            PermitOutcome::ServerError | PermitOutcome::Broken => self.failures.record_failure(now),
+            PermitOutcome::Shed => self.shed_pause = Some(now + SHED_PAUSE),
+            PermitOutcome::NotConnected => self.connect_pause = Some(now + CONNECT_FAILURE_PAUSE),
+            PermitOutcome::Unused => {}
+        }
+    }
+}
