--- a/crates/cowslipcross/src/views/store_health_tests.rs
+++ b/crates/cowslipcross/src/views/store_health_tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn an_instance_is_up_to_date_soon_after_the_store_answers_it_again() {
-    // The users' bound, `Contact`, less the time of a call.
+    // The time in which an instance may lag behind, less that of a call.
     let limit = Duration::from_millis(3000 - 500);
     for failures in 0..100 {
         assert!(retry_delay(failures) <= limit, "after {failures} failures");
