--- a/crates/cowslipcross/src/serve/caller_response.rs
+++ b/crates/cowslipcross/src/serve/caller_response.rs
@@ -7,7 +7,7 @@
     cowslip_decide::verdict::{Reason, Verdict},
     http::{HeaderValue, Response, StatusCode, header},
     http_body_util::Full,
-    std::time::Duration,
+    std::{ops::RangeInclusive, time::Duration},
 };
 
 /// Body of every response to a caller.
@@ -17,6 +17,9 @@
 /// to one third of that time; 0.3 stays below.
 const MAX_RETRY_AFTER_FACTOR: f64 = 0.3;
 
+/// Range of the random factor on `retry-after`, so that callers do not retry all at once.
+pub const RETRY_AFTER_JITTER: RangeInclusive<f64> = 0.8..=1.2;
+
 /// A refusal: the request has not run and will not run.
 #[derive(Clone, Debug)]
 pub struct Refusal {
@@ -91,11 +94,10 @@
     response
 }
 
-/// Returns a 503 whose `retry-after` varies by 20 % at random, so that callers do not retry all at
-/// once.
+/// Returns a 503 whose `retry-after` varies by [`RETRY_AFTER_JITTER`].
 fn refusal_response(refusal: &Refusal, remaining: Duration) -> Response<ResponseBody> {
     let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.as_str());
-    let jitter = 0.8 + 0.4 * rand::random::<f64>();
+    let jitter = rand::random_range(RETRY_AFTER_JITTER);
     let wait = refusal
         .wait
         .mul_f64(jitter)
--- a/crates/cowslipcross/src/serve/target_selection.rs
+++ b/crates/cowslipcross/src/serve/target_selection.rs
@@ -3,7 +3,10 @@
 use {
     crate::{
         context::Context,
-        serve::{request::CallerRequest, target_connections::TargetConnections},
+        serve::{
+            caller_response::RETRY_AFTER_JITTER, request::CallerRequest,
+            target_connections::TargetConnections,
+        },
         views::target_snapshot::{TargetSnapshot, TargetView},
     },
     cowslip_adapter::config::Service,
@@ -99,7 +102,7 @@
         return Selection::Wait(RESELECT_INTERVAL);
     }
     if let Some(wait) = quiet_time(context, view, now) {
-        return Selection::Refuse(wait);
+        return Selection::Refuse(time_to_return(wait));
     }
     Selection::Owner(connections_to(context, view, now), view.report.id.clone())
 }
@@ -110,6 +113,12 @@
     quiet_targets.remaining(&view.report.service, &view.target_incarnation(), now)
 }
 
+/// Returns the time after which a caller should come back, so that none does before the end of a quiet
+/// period.
+fn time_to_return(quiet_time: Duration) -> Duration {
+    quiet_time.div_f64(*RETRY_AFTER_JITTER.start())
+}
+
 /// Returns the targets of an unsharded service that must not get a request: those in `excluded` and
 /// those that want no requests from this instance.
 ///
@@ -134,7 +143,7 @@
         .filter(|view| !excluded.contains(&view.report.id) && is_available(context, view, now));
     let waits: Option<Vec<Duration>> = others.map(|view| quiet_time(context, view, now)).collect();
     match waits.and_then(|waits| waits.into_iter().min()) {
-        Some(wait) => Err(wait),
+        Some(wait) => Err(time_to_return(wait)),
         None => Ok([excluded, &quiet].concat()),
     }
 }
--- a/crates/cowslipcross/tests/instance/faulty_targets.rs
+++ b/crates/cowslipcross/tests/instance/faulty_targets.rs
@@ -19,6 +19,10 @@
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time beyond a route's timeout within which the final answer has to arrive.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
+/// Longest time that a caller with this much time left is told to wait.
+const MAX_RETRY_AFTER: Duration = Duration::from_millis(890);
+/// Time for sending a request, which a time to return may be short by.
+const SENDING_TIME: Duration = Duration::from_millis(100);
 /// Memory of the smallest instances, in bytes.
 const INSTANCE_MEMORY_BYTES: u64 = 160 << 20;
 
@@ -146,7 +150,13 @@
         let removed = instance.send(removal_request(&format!("r{id}"), 7)).await;
         let removed = removed.expect("a response");
         assert_eq!(removed.status, StatusCode::SERVICE_UNAVAILABLE);
-        assert!(removed.headers.contains_key("retry-after"));
+        let told = removed.headers["retry-after"].to_str().expect("text");
+        let told = Duration::from_secs_f64(told.parse().expect("seconds"));
+        // The first request may have met the refusal itself.
+        if refused > 0 {
+            let rest = period.saturating_sub(start.elapsed() + SENDING_TIME);
+            assert!(told >= rest.min(MAX_RETRY_AFTER), "{told:?} of {rest:?}");
+        }
         refused += 1;
         sleep(Duration::from_millis(20)).await;
     }
