fix(lead): a read of the router's table in an earlier era of the store is not applied

Another task may learn of a restoration while the read is under way; its row would replace what the election knows of the new era. Found by reading; it has no test of its own.

--- a/crates/cowslipcross/src/lead/row_reader.rs
+++ b/crates/cowslipcross/src/lead/row_reader.rs
@@ -76,6 +76,10 @@
 
 /// Applies the leader's row from a response of the store to a call that started at `sent_at`.
 pub fn apply_leader_row(context: &Context, rows: &RowSet, sent_at: LocalTime) {
+    // Meanwhile another task may have learned that the store was restored.
+    if rows.store_version.era < context.era() {
+        return;
+    }
     let row = rows.rows.iter().find(|row| row.key == ROW_KEY);
     let timestamp = rows.store_time.map(|time| StoreTimestamp {
         store_time: time,
