--- a/crates/cowslipcross/src/lead/assignment_rows.rs
+++ b/crates/cowslipcross/src/lead/assignment_rows.rs
@@ -26,6 +26,11 @@
     part_count: usize,
 }
 
+/// Returns the key of the row with a service's assignments.
+pub fn row_key(service: &str) -> String {
+    format!("{OWNERS_PREFIX}{service}")
+}
+
 /// Returns the rows for the assignments of a service: one row, or the parts and then the row that
 /// refers to them.
 ///
@@ -36,7 +41,7 @@
     assignments: &AssignmentRowValue,
 ) -> serde_json::Result<Vec<RowWrite>> {
     let value = serde_json::to_vec(assignments)?;
-    let key = format!("{OWNERS_PREFIX}{service}");
+    let key = row_key(service);
     if value.len() <= MAX_VALUE_BYTES {
         return Ok(vec![RowWrite { key, value }]);
     }
--- a/crates/cowslipcross/src/lead/restoration.rs
+++ b/crates/cowslipcross/src/lead/restoration.rs
@@ -9,12 +9,12 @@
         context::Context,
         events,
         lead::{
-            assignment_rows::{self, AssignmentRowValue, OWNERS_PREFIX},
+            assignment_rows::{self, AssignmentRowValue},
             leader_row, row_writer,
         },
     },
     cowslip_adapter::store::CommitOutcome,
-    cowslip_decide::names::{Name, StoreVersion},
+    cowslip_decide::names::StoreVersion,
 };
 
 /// Writes the leader's row and all assignments in the new era, if no other instance has claimed the
@@ -38,9 +38,9 @@
     }
     let mut checks = vec![leader_row::check(leader_row::ROW_KEY, StoreVersion::NONE)];
     checks.extend(
-        all_recorded
-            .keys()
-            .map(|service| leader_row::check(&row_key(service), StoreVersion::NONE)),
+        all_recorded.keys().map(|service| {
+            leader_row::check(&assignment_rows::row_key(service), StoreVersion::NONE)
+        }),
     );
     let commit =
         context
@@ -75,7 +75,3 @@
     );
     context.leader_work.notify_one();
 }
-
-fn row_key(service: &Name) -> String {
-    format!("{OWNERS_PREFIX}{service}")
-}
--- a/crates/cowslipcross/src/lead/row_writer.rs
+++ b/crates/cowslipcross/src/lead/row_writer.rs
@@ -7,7 +7,7 @@
         context::{AssignmentChange, Context, RecordedAssignments},
         events,
         lead::{
-            assignment_rows::{self, AssignmentRowValue, OWNERS_PREFIX},
+            assignment_rows::{self, AssignmentRowValue},
             leader_row::{
                 ROW_KEY, STORE_TIMEOUT, check, new_row, own_grants_end, timestamp_to_write,
             },
@@ -112,7 +112,7 @@
     if !context.is_leader() {
         return RecordingOutcome::NotRecorded;
     }
-    let key = format!("{OWNERS_PREFIX}{service}");
+    let key = assignment_rows::row_key(service);
     let own_version = context.election.borrow().row_version();
     let value = AssignmentRowValue::new(table, |owner| context.target_address(owner));
     let Ok(mut writes) = assignment_rows::encode(service, &value) else {
