feat(serve): the limits that targets name are read, logged and counted

Change: Server-Limit is decoded; an instance logs CC0410 when the limit that a target names to it changes, and counts its requests to such targets by whether they had a permit. Nothing is limited yet.

Measured: decode, docs, events and cowslipctl suites pass.

--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -99,6 +99,9 @@
     409 GRANT_REFUSED Warn FREQUENT_RATE; "target {target} refused a grant: {detail}";
         "The target has seen a higher fence for these keys than that of the grant.";
         "Nothing, if it ends within seconds of a move.";
+    410 TARGET_LIMITED Info FREQUENT_RATE; "target {target} limits its requests: {detail}";
+        "The target takes only so many requests a second from all instances together, until it names no limit any more.";
+        "Look at the target if it stays limited.";
     502 BAD_REQUEST Debug FREQUENT_RATE; "bad request {request}: {detail}";
         "A caller sent an invalid request."; "Tell the caller's team.";
     504 RETRY Debug FREQUENT_RATE; "request {request} retried: {detail}";
--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -26,6 +26,7 @@
     commands: IntCounterVec,
     bad_datagrams: IntCounter,
     permit_timeouts: IntCounter,
+    limited_sends: IntCounterVec,
     retries: IntCounterVec,
     targets: IntGauge,
     unreadable_reports: IntGauge,
@@ -79,6 +80,11 @@
                 "silent_holders_total",
                 "Questions for a permit that got no reply.",
             ),
+            limited_sends: registry.counter_with_labels(
+                "limited_sends_total",
+                "Requests sent to targets that have named a limit.",
+                &["permit"],
+            ),
             retries: registry.counter_with_labels(
                 "repeats_total",
                 "Repeated sends that were asked of the instance's share of the bound.",
@@ -185,6 +191,12 @@
         self.permit_timeouts.inc();
     }
 
+    /// Counts a request to a target that has named a limit, and whether it was sent with a permit.
+    pub fn count_limited_send(&self, has_permit: bool) {
+        let permit = if has_permit { "yes" } else { "no" };
+        self.limited_sends.with_label_values(&[permit]).inc();
+    }
+
     /// Sets the number of targets that report themselves and of unreadable reports.
     pub fn set_target_reports(&self, targets: usize, unreadable: usize) {
         self.targets.set(targets as i64);
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -199,6 +199,10 @@
     if let Some(load) = metadata.load {
         target.load.set(Some((load, Instant::now())));
     }
+    // A refusal without a limit may come from another target that has the address now.
+    if metadata.rate_limit.is_some() || !metadata.not_executed {
+        target.rate_limit.set(metadata.rate_limit);
+    }
     let body_timeout = match metadata.not_executed {
         true => REFUSAL_BODY_TIMEOUT,
         // The caller of this function sets the limit.
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -16,6 +16,7 @@
     },
     cowslip_decide::{
         attempts::{AttemptHistory, AttemptOutcome, FinalError, NextAction, RetryPolicy},
+        limits::RateLimit,
         names::Name,
         owners::TargetIncarnation,
         permits::PermitOutcome,
@@ -169,6 +170,10 @@
     let (context, target) = (context.clone(), target.clone());
     let request = request.clone();
     let is_idempotent = request.route.idempotent;
+    let known_limit = connections.rate_limit.get();
+    if known_limit.is_some() {
+        context.metrics.count_limited_send(permit.is_some());
+    }
     let attempt = async move {
         let exchange_outcome = exchange::send_request(
             &context.response_memory,
@@ -179,6 +184,7 @@
         )
         .await;
         let quiet_time = apply_notices(&context, &request.service, &connections, &target);
+        record_limit_change(&context, &target, known_limit, connections.rate_limit.get());
         if let Some(permit) = permit {
             permit.outcome.set(permit_outcome(&exchange_outcome));
             permit.slowdown.set(connections.slowdown());
@@ -220,6 +226,24 @@
     Some(end - now)
 }
 
+/// Records that a target has named another limit than before the request, or none any more.
+fn record_limit_change(
+    context: &Context,
+    target: &Name,
+    before: Option<RateLimit>,
+    now: Option<RateLimit>,
+) {
+    if before == now {
+        return;
+    }
+    let fields = EventFields {
+        target: Some(target.clone()),
+        detail: Some(now.map_or("no more".into(), |it| format!("{} a second", it.rate()))),
+        ..EventFields::default()
+    };
+    context.events.record(events::TARGET_LIMITED, fields);
+}
+
 fn record_quiet_period(context: &Context, target: &TargetIncarnation, period: Duration) {
     let fields = EventFields {
         target: Some(target.id.clone()),
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -7,7 +7,10 @@
         http_client::MAX_READ_BUFFER_BYTES,
         targets::TargetReport,
     },
-    cowslip_decide::{limits::TokenBucket, service_time::ServiceTime},
+    cowslip_decide::{
+        limits::{RateLimit, TokenBucket},
+        service_time::ServiceTime,
+    },
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     socket2::SockRef,
@@ -76,6 +79,8 @@
     pub quiet_until: Cell<Option<Instant>>,
     /// Whether the target has announced in a response that it is about to stop.
     pub is_leaving: Cell<bool>,
+    /// Requests that the target takes from all instances together; `None` if it names no limit.
+    pub rate_limit: Cell<Option<RateLimit>>,
     idle: RefCell<Vec<Connection>>,
     open_count: Cell<u32>,
 }
@@ -99,6 +104,7 @@
             avoid_until: Cell::new(None),
             quiet_until: Cell::new(None),
             is_leaving: Cell::new(false),
+            rate_limit: Cell::new(None),
             idle: RefCell::default(),
             open_count: Cell::new(0),
         }
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -1,4 +1,5 @@
-//! Retry budget, of which each instance enforces its share, and token bucket for cold targets.
+//! Retry budget, of which each instance enforces its share, limits that targets name, and token
+//! bucket for limited and cold targets.
 
 use {std::time::Duration, tokio::time::Instant};
 
@@ -79,6 +80,28 @@
     }
 }
 
+/// Requests per second that a target takes from all instances together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RateLimit {
+    /// Thousandths of a request per second.
+    pub millis: u64,
+}
+
+impl RateLimit {
+    /// Converts a number of requests per second; `None` if it is negative or not finite.
+    pub fn from_rate(per_second: f64) -> Option<Self> {
+        let is_valid = per_second.is_finite() && per_second >= 0.0;
+        is_valid.then_some(Self {
+            millis: (1000.0 * per_second) as u64,
+        })
+    }
+
+    /// Returns the number of requests per second.
+    pub fn rate(self) -> f64 {
+        self.millis as f64 / 1000.0
+    }
+}
+
 /// Token bucket of size 1: the rate limit of one instance at a cold target.
 #[derive(Debug)]
 pub struct TokenBucket {
