--- /dev/null
+++ b/crates/cowslipcross/tests/instance/limited_targets.rs
@@ -0,0 +1,67 @@
+//! Tests of targets that name a limit on the requests of all instances together.
+
+use {
+    crate::deployment::{Deployment, booking_request, lookup_request},
+    cowslip_adapter_standins::target::{FakeTarget, TargetMode},
+    futures_util::future::join_all,
+    http::StatusCode,
+    std::time::Duration,
+    tokio::time::{Instant, sleep},
+};
+
+const PROCESSING_TIME: Duration = Duration::from_millis(20);
+/// Requests a second that the limited targets take.
+const LIMIT: u32 = 2;
+/// Time that the instances have to tell each other of a limit.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Span in which arrivals are counted.
+const SPAN: Duration = Duration::from_secs(4);
+/// Most arrivals in a span: one and a half times the limit, and 5 requests.
+const MAX_ARRIVALS: usize = 17;
+/// Callers at each instance, and the pause of each between two requests.
+const CALLERS: u64 = 3;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends lookups of keys all over the range, and bookings, to all instances at once for this time;
+/// returns the numbers of lookups and bookings that were answered.
+async fn press(deployment: &Deployment, instances: &[usize], time: Duration) -> (u64, u64) {
+    let end = Instant::now() + time;
+    let callers = instances.iter().flat_map(|instance| {
+        (0..CALLERS).map(move |caller| async move {
+            let mut served = (0, 0);
+            let mut number = 0;
+            while Instant::now() < end {
+                number += 1;
+                let id = format!("{instance}-{caller}-{number}-{}", time.as_millis());
+                let key = (number * 7919 + caller * 131) % 65536;
+                let instance = &deployment.instances[*instance];
+                let looked_up = instance.send(lookup_request(&id, key)).await;
+                let booked = instance.send(booking_request(&format!("b{id}"))).await;
+                let is_served = |it: &_| u64::from(it == &StatusCode::OK);
+                served.0 += looked_up.map_or(0, |it| is_served(&it.status));
+                served.1 += booked.map_or(0, |it| is_served(&it.status));
+                sleep(PAUSE).await;
+            }
+            served
+        })
+    });
+    let served = join_all(callers).await;
+    let sum = |sums: (u64, u64), it: (u64, u64)| (sums.0 + it.0, sums.1 + it.1);
+    served.into_iter().fold((0, 0), sum)
+}
+
+fn assert_limit_kept(target: &FakeTarget, from: Instant) {
+    let arrivals = target.peak_arrivals(from, SPAN);
+    assert!(arrivals <= MAX_ARRIVALS, "{arrivals} requests in {SPAN:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_names_a_limit_gets_no_more_from_all_instances_together() {
+    let deployment = Deployment::start(3, 2, 2, PROCESSING_TIME).await;
+    let limited = [&deployment.boards[0], &deployment.crews[0]];
+    limited.map(|target| target.set_mode(TargetMode::NameLimit(LIMIT)));
+    let named_at = Instant::now();
+    let served = press(&deployment, &[0, 1, 2], CONTACT + 2 * SPAN).await;
+    assert!(served.0 > 0 && served.1 > 0, "{served:?}");
+    limited.map(|target| assert_limit_kept(target, named_at + CONTACT));
+}
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod faulty_targets;
+mod limited_targets;
 mod operators;
 mod requests;
 mod restoration;
