feat(permits): coordinators keep the limits that targets name

Cause: a pool's coordinator counts slots only, so that a target gets as many requests as its slots serve, whatever limit it names.

Change: a target of a pool may have a limit, kept by the token bucket that cold targets have. Three quarters of the limit are used, as two coordinators give permits while the coordinator of a pool changes; a limit below 0.25 a second counts as that, since only a response lifts it. Requests that would wait for their token longer than they can are refused at once, with the time until it, which now holds for cold targets, too. Nothing tells the coordinators of limits yet.

--- a/crates/cowslipcross/src/serve/permits.rs
+++ b/crates/cowslipcross/src/serve/permits.rs
@@ -432,6 +432,7 @@
                 slots: view.report.slots.min(1000) as u32,
                 data_centre: view.report.data_centre.clone(),
                 cold_rate: view.is_cold(now).then_some(max_rate),
+                rate_limit: None,
             };
             (view.report.id.clone(), pool_target)
         })
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -9,6 +9,9 @@
 /// requests.
 const BUDGET_USABLE_RATIO: f64 = 0.7;
 
+/// Longest wait for a token that is reported.
+const MAX_TOKEN_WAIT: Duration = Duration::from_secs(60);
+
 /// Retry budget of a service within a sliding window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBudget {
@@ -102,7 +105,7 @@
     }
 }
 
-/// Token bucket of size 1: the rate limit of one instance at a cold target.
+/// Token bucket of size 1.
 #[derive(Debug)]
 pub struct TokenBucket {
     level: f64,
@@ -124,14 +127,24 @@
     /// # Errors
     /// Returns the time to wait if there is none.
     pub fn try_take(&mut self, rate: f64, now: Instant) -> Result<(), Duration> {
-        let elapsed = now.duration_since(self.updated_at).as_secs_f64();
-        self.level = (self.level + elapsed * rate).min(1.0);
-        self.updated_at = now;
-        if self.level >= 1.0 {
-            self.level -= 1.0;
-            return Ok(());
+        let wait = self.wait(rate, now);
+        if !wait.is_zero() {
+            return Err(wait);
         }
-        let wait = (1.0 - self.level) / rate.max(f64::MIN_POSITIVE);
-        Err(Duration::from_secs_f64(wait.min(60.0)))
+        self.level = self.level_at(rate, now) - 1.0;
+        self.updated_at = now;
+        Ok(())
+    }
+
+    /// Returns the time until there is a token, at most [`MAX_TOKEN_WAIT`].
+    pub fn wait(&self, rate: f64, now: Instant) -> Duration {
+        let missing = 1.0 - self.level_at(rate, now);
+        let seconds = missing.max(0.0) / rate.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(seconds.min(MAX_TOKEN_WAIT.as_secs_f64()))
+    }
+
+    fn level_at(&self, rate: f64, now: Instant) -> f64 {
+        let elapsed = now.duration_since(self.updated_at).as_secs_f64();
+        (self.level + elapsed * rate).min(1.0)
     }
 }
--- a/crates/decide/src/permits/mod.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -9,7 +9,7 @@
 mod target_state;
 
 use {
-    crate::{limits::TokenBucket, names::Name, service_time},
+    crate::{limits::RateLimit, names::Name, service_time},
     std::{collections::BTreeMap, time::Duration},
     target_state::{Permit, Rank, TargetState},
     tokio::time::Instant,
@@ -94,6 +94,8 @@
     pub data_centre: Name,
     /// Requests per second while the target is cold; `None` for a warm one.
     pub cold_rate: Option<f64>,
+    /// Limit that the target has named.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// Coordinator's state of a pool of targets; `A` identifies an instance.
@@ -118,15 +120,12 @@
         self.targets
             .retain(|name, _| pool_targets.contains_key(name));
         for (name, info) in pool_targets {
-            let target = self
-                .targets
-                .entry(name.clone())
-                .or_insert_with(|| TargetState::new(info.clone()));
-            target.info = info.clone();
-            match info.cold_rate {
-                None => target.cold_tokens = None,
-                Some(_) if target.cold_tokens.is_some() => {}
-                Some(_) => target.cold_tokens = Some(TokenBucket::new(1.0, now)),
+            match self.targets.get_mut(name) {
+                Some(target) => target.update(info.clone(), now),
+                None => {
+                    let target = TargetState::new(info.clone(), now);
+                    self.targets.insert(name.clone(), target);
+                }
             }
         }
     }
@@ -263,19 +262,15 @@
                 expires_at: request.deadline + PERMIT_GRACE,
             };
             target.permits.insert(id, permit);
+            target.take_token(now);
         }
     }
 
     /// Returns the target that may get the request of `instance` and is expected to answer it first.
     /// Targets in the data centre of that instance are preferred while they are expected to meet the
     /// latency goal: the caller loses nothing, and no bytes cross between data centres. Cold targets
-    /// are chosen only if the pool has no warm one, each up to its cold rate and its slots.
-    fn choose_target(
-        &mut self,
-        instance: &A,
-        request: &PermitRequest,
-        now: Instant,
-    ) -> Option<Name> {
+    /// are chosen only if the pool has no warm one without a limit, each up to its rate and its slots.
+    fn choose_target(&self, instance: &A, request: &PermitRequest, now: Instant) -> Option<Name> {
         let mean = self.mean_service_time();
         let has_queue = !self.queue.is_empty();
         let accepts = |(name, target): &(&Name, &TargetState<A>)| {
@@ -301,24 +296,17 @@
         if let Some((_, _, name)) = best {
             return Some(name.clone());
         }
-        let any_warm = self.targets.values().any(|it| it.info.cold_rate.is_none());
-        if any_warm {
+        let mut all = self.targets.values();
+        if all.any(|it| it.is_unlimited()) {
             return None;
         }
-        let cold = self.targets.iter_mut();
-        let cold = cold.filter(|(name, it)| {
+        let mut cold = self.targets.iter();
+        let found = cold.find(|(name, it)| {
             !request.excluded.contains(name)
                 && it.can_accept(false, now)
                 && !it.is_quiet(instance, now)
         });
-        for (name, target) in cold {
-            let rate = target.info.cold_rate.unwrap_or_default();
-            let tokens = target.cold_tokens.as_mut()?;
-            if tokens.try_take(rate, now).is_ok() {
-                return Some(name.clone());
-            }
-        }
-        None
+        found.map(|(name, _)| name.clone())
     }
 
     /// Returns the time after which the caller should come back, if a request behind `ahead` others
@@ -341,9 +329,22 @@
         let permits: usize = self.targets.values().map(|it| it.permits.len()).sum();
         // On average a running request has half of its service time left.
         let queue = ahead as f64 + 0.5 * permits.min(slots as usize) as f64;
-        let wait = queue * service_time / f64::from(slots);
-        (wait + MIN_SERVICE_RATIO * service_time > remaining)
-            .then(|| MIN_RETRY_AFTER.max(Duration::from_secs_f64(wait * RETRY_AFTER_RATIO)))
+        let throughput: f64 = self
+            .targets
+            .values()
+            .map(|it| it.throughput(service_time))
+            .sum();
+        let wait = queue / throughput;
+        // The rate of limited targets does not depend on when their requests end.
+        let token_waits = self.targets.values().map(|it| it.token_wait(now));
+        let token_wait = token_waits.min().unwrap_or_default().as_secs_f64();
+        let rate_wait = match token_wait > 0.0 {
+            true => token_wait + ahead as f64 / throughput,
+            false => 0.0,
+        };
+        let retry_after = rate_wait.max(wait * RETRY_AFTER_RATIO);
+        (wait.max(rate_wait) + MIN_SERVICE_RATIO * service_time > remaining)
+            .then(|| MIN_RETRY_AFTER.max(Duration::from_secs_f64(retry_after)))
     }
 
     /// Returns the mean of the targets' service times in seconds.
--- a/crates/decide/src/permits/target_state.rs
+++ b/crates/decide/src/permits/target_state.rs
@@ -5,7 +5,7 @@
         PermitOutcome, PermitReport, PermitRequest, PermitRequestId, PoolTarget, failures::Failures,
     },
     crate::{
-        limits::TokenBucket,
+        limits::{RateLimit, TokenBucket},
         service_time::{ServiceTime, TargetEstimate},
     },
     std::{collections::BTreeMap, time::Duration},
@@ -22,6 +22,13 @@
 /// Age from which a reported slowdown is ignored.
 const MAX_SLOWDOWN_AGE: Duration = Duration::from_millis(300);
 
+/// Part of a named limit that a coordinator uses. While the coordinator of a pool changes, two of
+/// them give permits.
+const USABLE_LIMIT_RATIO: f64 = 0.75;
+/// Requests per second that a target gets whatever its limit: only a response tells that it has
+/// lifted the limit.
+const MIN_LIMITED_RATE: f64 = 0.25;
+
 #[derive(Debug)]
 pub(super) struct TargetState<A: Ord> {
     pub info: PoolTarget,
@@ -36,7 +43,8 @@
     /// Instances from which the target wants no requests, with the ends of these times.
     quiet_periods: BTreeMap<A, Instant>,
     pub failures: Failures,
-    pub cold_tokens: Option<TokenBucket>,
+    /// Limits the rate of a target that is cold or has named a limit.
+    tokens: Option<TokenBucket>,
 }
 
 #[derive(Debug)]
@@ -57,9 +65,9 @@
 
 impl<A: Ord> TargetState<A> {
     /// Creates the state of a target of which nothing is known yet.
-    pub fn new(info: PoolTarget) -> Self {
-        Self {
-            info,
+    pub fn new(info: PoolTarget, now: Instant) -> Self {
+        let mut created = Self {
+            info: info.clone(),
             permits: BTreeMap::new(),
             service_time: ServiceTime::default(),
             slowdown: None,
@@ -67,17 +75,65 @@
             shed_pause: None,
             quiet_periods: BTreeMap::new(),
             failures: Failures::default(),
-            cold_tokens: None,
+            tokens: None,
+        };
+        created.update(info, now);
+        created
+    }
+
+    /// Replaces what the coordinator is told about the target.
+    pub fn update(&mut self, info: PoolTarget, now: Instant) {
+        self.info = info;
+        self.tokens = match self.max_rate() {
+            None => None,
+            Some(_) => self.tokens.take().or(Some(TokenBucket::new(1.0, now))),
+        };
+    }
+
+    /// Returns the requests per second that the target may get; `None` if there is no limit.
+    fn max_rate(&self) -> Option<f64> {
+        let named = self.info.rate_limit.map(usable_rate);
+        let rates = named.into_iter().chain(self.info.cold_rate);
+        rates.min_by(f64::total_cmp)
+    }
+
+    /// Returns whether the target takes as many requests as its slots serve.
+    pub fn is_unlimited(&self) -> bool {
+        self.max_rate().is_none()
+    }
+
+    /// Returns the time until the target's rate allows the next request.
+    pub fn token_wait(&self, now: Instant) -> Duration {
+        match (&self.tokens, self.max_rate()) {
+            (Some(tokens), Some(rate)) => tokens.wait(rate, now),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Counts a request against the target's rate.
+    pub fn take_token(&mut self, now: Instant) {
+        let rate = self.max_rate();
+        if let (Some(tokens), Some(rate)) = (&mut self.tokens, rate) {
+            // Only a target with a token is chosen, see `can_accept`.
+            let _ = tokens.try_take(rate, now);
         }
     }
 
+    /// Returns the requests per second that the target can serve, if each takes `service_time`
+    /// seconds.
+    pub fn throughput(&self, service_time: f64) -> f64 {
+        let served = f64::from(self.info.slots) / service_time;
+        self.max_rate().map_or(served, |rate| rate.min(served))
+    }
+
     pub fn can_accept(&self, has_queue: bool, now: Instant) -> bool {
         let is_paused = |until: Option<Instant>| until.is_some_and(|until| until > now);
         if is_paused(self.connect_pause) || is_paused(self.shed_pause) {
             return false;
         }
         let extra = if has_queue { REQUESTS_BEYOND_SLOTS } else { 0 };
-        (self.permits.len() as u32) < self.info.slots + extra
+        let has_slot = (self.permits.len() as u32) < self.info.slots + extra;
+        has_slot && self.token_wait(now).is_zero()
     }
 
     /// Returns whether the target wants no requests from an instance now.
@@ -139,3 +195,7 @@
         }
     }
 }
+
+fn usable_rate(limit: RateLimit) -> f64 {
+    (USABLE_LIMIT_RATIO * limit.rate()).max(MIN_LIMITED_RATE)
+}
--- a/crates/decide/tests/permits.rs
+++ b/crates/decide/tests/permits.rs
@@ -2,6 +2,7 @@
 
 use {
     cowslip_decide::{
+        limits::RateLimit,
         names::Name,
         permits::{
             PermitOutcome, PermitReply, PermitReport, PermitRequest, PermitRequestId, Pool,
@@ -24,6 +25,7 @@
         slots: SLOTS,
         data_centre: "west".into(),
         cold_rate,
+        rate_limit: None,
     };
     names
         .iter()
@@ -245,6 +247,98 @@
     assert_eq!(pool.process_queue(now + millis(2000)).len(), 1);
 }
 
+/// Returns targets of which the first one has named a limit of so many requests a second.
+fn limited_targets(names: &[(&str, Option<f64>)], limit: f64) -> BTreeMap<Name, PoolTarget> {
+    let mut targets = pool_targets(names);
+    let first = targets.get_mut(names[0].0).expect("a target");
+    first.rate_limit = RateLimit::from_rate(limit);
+    targets
+}
+
+/// Presses two coordinators of a target, which every caller of changes after `turn` ticks of 10 ms,
+/// for 20 s; returns the most permits within 4 s.
+fn peak_permits(limit: f64, turn: u64) -> usize {
+    let start = Instant::now();
+    let mut pools: [Pool<u8>; 2] = Default::default();
+    let mut granted_at = Vec::new();
+    for tick in 0..2000 {
+        let now = start + millis(10 * tick);
+        for (index, pool) in pools.iter_mut().enumerate() {
+            pool.update_targets(&limited_targets(&[("a", None)], limit), now);
+            let is_asked = tick / turn % 2 == index as u64;
+            let mut replies = pool.process_queue(now);
+            if is_asked {
+                let id = (0, tick);
+                let reply = pool.request_permit(id, permit_request(1, now, 500, 900), now);
+                replies.push((id, reply));
+            }
+            for (id, _) in replies.iter().filter(|(_, reply)| is_granted(reply)) {
+                granted_at.push(tick);
+                // Each request ends at once, so that only the limit holds others back.
+                pool.finish_request(id, report(PermitOutcome::Served), now);
+            }
+        }
+    }
+    let count = |from: u64| {
+        let span = from..from + 400;
+        granted_at.iter().filter(|it| span.contains(it)).count()
+    };
+    (0..1600).map(count).max().unwrap_or(0)
+}
+
+#[test]
+fn a_target_gets_no_more_than_its_limit_while_its_coordinator_changes() {
+    for limit in [0.0, 0.3, 1.0, 1.9, 10.0, 40.0] {
+        // What the users allow: one and a half times the limit, and 5 requests.
+        let allowed = (1.5 * limit * 4.0 + 5.0) as usize;
+        for turn in [1, 50, 4000] {
+            let peak = peak_permits(limit, turn);
+            assert!(
+                (1..=allowed).contains(&peak),
+                "{peak} of {allowed}, turns of {turn}"
+            );
+        }
+    }
+}
+
+#[test]
+fn requests_beyond_a_limit_are_refused_at_once_until_they_can_be_served() {
+    let now = Instant::now();
+    let mut pool: Pool<u8> = Pool::default();
+    pool.update_targets(&limited_targets(&[("a", None)], 2.0), now);
+    let replies: Vec<PermitReply> = (0..30)
+        .map(|number| pool.request_permit((0, number), permit_request(1, now, 600, 2000), now))
+        .collect();
+    let queued = replies.iter().filter(|it| **it == PermitReply::Queued);
+    assert!((1..=3).contains(&queued.count()), "{replies:?}");
+    let Some(PermitReply::Refused(wait)) = replies.last() else {
+        panic!("{replies:?}");
+    };
+    // The requests before it need that long.
+    assert!(*wait >= millis(1000) && *wait <= millis(4000), "{wait:?}");
+}
+
+#[test]
+fn requests_go_to_targets_without_a_limit_rather_than_wait() {
+    let now = Instant::now();
+    let mut pool: Pool<u8> = Pool::default();
+    let targets = limited_targets(&[("a", None), ("b", None), ("c", None)], 1.0);
+    pool.update_targets(&targets, now);
+    let mut chosen = Vec::new();
+    for number in 0..20 {
+        let reply = pool.request_permit((0, number), permit_request(1, now, 600, 4000), now);
+        let PermitReply::Granted(target) = reply else {
+            panic!("{reply:?}");
+        };
+        pool.finish_request(&(0, number), report(PermitOutcome::Served), now + millis(5));
+        chosen.push(target);
+    }
+    assert!(
+        chosen.iter().filter(|it| ***it == *"a").count() <= 1,
+        "{chosen:?}"
+    );
+}
+
 /// Lets targets in two data centres answer with these service times in milliseconds, then returns
 /// the target that a request from the data centre `west` gets, and its latency goal in milliseconds.
 fn choose_with_service_times(times: &[(&str, &str, u64)], latency_goal: u64) -> Name {
@@ -254,6 +348,7 @@
         slots: SLOTS,
         data_centre: data_centre.into(),
         cold_rate: None,
+        rate_limit: None,
     };
     for (number, (name, data_centre, time)) in times.iter().enumerate() {
         let only = BTreeMap::from([(Name::from(*name), describe(data_centre))]);
