fix(views, serve): the limits that targets name are kept by all instances together

Cause: no instance acted on Server-Limit. What an instance learns of a target from a response stayed with it, except for announced stops, which had a path of their own.

Change: what targets say of themselves is a notice: observed by one instance, told to the coordinator with the returned permit and to the leader, repeated by heartbeats for as long as it is in force, ordered by the hybrid logical clock. The coordinator gives permits for three quarters of the limit; a limited target gets no request without a permit; the leader assigns keys by the limit, so that callers are served elsewhere.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -12,7 +12,7 @@
             response_memory::ResponseMemory, routes::Routes, target_connections::TargetConnections,
         },
         views::{
-            leaving_targets::LeavingTargets, target_snapshot::TargetSnapshot,
+            target_notices::TargetNotices, target_snapshot::TargetSnapshot,
             target_updates::TargetUpdates,
         },
     },
@@ -145,8 +145,8 @@
     pub assignment_requests: Cell<(u32, Option<Instant>)>,
     /// Keys whose owner refused a request a moment ago.
     pub blocked_keys: RefCell<BlockedKeys>,
-    /// Targets that have announced in their responses that they are about to stop.
-    pub leaving_targets: RefCell<LeavingTargets>,
+    /// What targets say of themselves in their responses.
+    pub target_notices: RefCell<TargetNotices>,
     /// Targets that want no requests from this instance for some time.
     pub quiet_targets: RefCell<QuietTargets>,
     /// Memory for the bodies of targets' responses.
@@ -242,7 +242,7 @@
             recorded_assignments: RefCell::default(),
             assignment_requests: Cell::new((0, None)),
             blocked_keys: RefCell::default(),
-            leaving_targets: RefCell::default(),
+            target_notices: RefCell::default(),
             quiet_targets: RefCell::default(),
             response_memory: ResponseMemory::default(),
             connections: RefCell::default(),
--- a/crates/cowslipcross/src/lead/command_sender.rs
+++ b/crates/cowslipcross/src/lead/command_sender.rs
@@ -4,7 +4,7 @@
     crate::{
         context::Context,
         events::{self, EventFields},
-        views::leaving_targets,
+        views::target_notices,
     },
     cowslip_adapter::{
         Error, Result,
@@ -97,8 +97,9 @@
                     return Err(not_sent_error("no longer leader"));
                 }
                 let granted = commands::send_grant(&client, &owner.id, &grant, GRANT_TIMEOUT).await;
-                if granted.as_ref().is_ok_and(|it| it.leaving) {
-                    leaving_targets::record(context, owner, "response to a grant");
+                if let Ok(response) = &granted {
+                    let (leaving, limit) = (response.leaving, response.rate_limit);
+                    target_notices::record_command_response(context, owner, leaving, limit);
                 }
                 granted.map(|it| outcome_of_grant(it.outcome))
             }
--- a/crates/cowslipcross/src/lead/leader_loop.rs
+++ b/crates/cowslipcross/src/lead/leader_loop.rs
@@ -291,6 +291,13 @@
         .filter_map(|id| reports.service_times.get(id).copied())
         .collect();
     let mean = f64::from(service_times.iter().sum::<u32>()) / service_times.len().max(1) as f64;
+    let notices = context.target_notices.borrow();
+    // A target that takes few requests is like one with few slots.
+    let max_slots = |id: &Name| {
+        let view = targets.get(id)?;
+        let limit = notices.rate_limit(&view.target_incarnation())?;
+        (mean > 0.0).then(|| limit.usable_rate() * mean / 1000.0)
+    };
     let speed = |id: &Name| match reports.service_times.get(id) {
         Some(time) => (mean / f64::from(*time).max(1.0)).clamp(MIN_SPEED, MAX_SPEED),
         None => 1.0,
@@ -301,7 +308,11 @@
             .iter()
             .filter(move |(_, it)| it.can_own && it.is_cold == cold);
         chosen
-            .map(|(id, _)| (id.clone(), slots(id) * speed(id)))
+            .map(|(id, _)| {
+                let capacity = slots(id) * speed(id);
+                let limited = max_slots(id).map_or(capacity, |max| max.min(capacity));
+                (id.clone(), limited)
+            })
             .collect::<TargetCapacities>()
     };
     let warm = select(false);
--- a/crates/cowslipcross/src/peers/datagram.rs
+++ b/crates/cowslipcross/src/peers/datagram.rs
@@ -73,7 +73,7 @@
         Message::Assignments(name, update) => assignments::handle_response(context, &name, &update),
         Message::LeadershipOffer => context.refresh_requested.notify_one(),
         Message::Report(report) => heartbeat_protocol::handle_report(context, report, from),
-        Message::TargetLeaving(target) => heartbeat_protocol::handle_leaving(context, [target]),
+        Message::TargetNotices(all) => heartbeat_protocol::handle_notices(context, all),
         permit_message => permits::handle_message(context, permit_message, from),
     }
 }
--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -9,10 +9,14 @@
         peers::{
             assignments, datagram,
             membership::{self, Member, Membership},
-            message::{InstanceReport, LeaderHeartbeat, Message, WireIncarnation},
+            message::{InstanceReport, LeaderHeartbeat, Message, WireNotice},
         },
         serve::permits,
-        views::{leaving_targets, store_era, target_updates, targets},
+        views::{
+            store_era,
+            target_notices::{self, NoticeSource},
+            target_updates, targets,
+        },
     },
     cowslip_decide::names::Name,
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -62,21 +66,29 @@
         assignments::apply_update(context, service, update, from);
     }
     targets::handle_update(context, heartbeat.target_update);
-    handle_leaving(context, heartbeat.leaving);
+    handle_notices(context, heartbeat.notices);
 }
 
-/// Treats targets as draining that have announced in a response to another instance that they are
-/// about to stop.
-pub fn handle_leaving(context: &Context, leaving: impl IntoIterator<Item = WireIncarnation>) {
-    for target in leaving {
-        leaving_targets::record(context, &target.into(), "response to another instance");
+/// Records what targets have said of themselves in responses to other instances.
+pub fn handle_notices(context: &Context, notices: Vec<WireNotice>) {
+    for notice in notices {
+        let observed_at = HybridTimestamp::from(notice.4);
+        context.events.observe_timestamp(observed_at);
+        target_notices::record(context, notice.into(), NoticeSource::Instance);
     }
 }
 
-/// Returns the targets that have recently announced that they are about to stop.
-fn recent_leaving(context: &Context) -> Vec<WireIncarnation> {
-    let recent = context.leaving_targets.borrow().recent(Instant::now());
-    recent.iter().map(WireIncarnation::from).collect()
+/// Returns the notices for a report of this instance.
+fn own_notices(context: &Context) -> Vec<WireNotice> {
+    let notices = context.target_notices.borrow();
+    notices.own_recent(Instant::now()).map(Into::into).collect()
+}
+
+/// Returns the notices for a heartbeat of the leader.
+fn notices_in_force(context: &Context) -> Vec<WireNotice> {
+    let (notices, targets) = (context.target_notices.borrow(), context.targets.borrow());
+    let in_force = notices.in_force(&targets, Instant::now());
+    in_force.map(Into::into).collect()
 }
 
 /// Replaces the membership by the one that the leader sent.
@@ -94,7 +106,7 @@
         .observe_timestamp(HybridTimestamp::from(report.timestamp));
     context.update_reported_version(report.config_version);
     let is_current = report.membership_hash == context.membership.borrow().hash();
-    handle_leaving(context, report.leaving.clone());
+    handle_notices(context, report.notices.clone());
     peer_reports::apply_report(context, from, report);
     if context.is_leader() && !is_current {
         let text = context.membership.borrow().to_text();
@@ -116,7 +128,7 @@
             config_version: context.operator_version.get(),
             key_counts: take_key_counts(&context),
             service_times: permits::service_times(&context),
-            leaving: recent_leaving(&context),
+            notices: own_notices(&context),
         };
         match context.leader_address.get() {
             // The leader handles its own report without sending it.
@@ -148,7 +160,7 @@
         membership_hash: membership.hash(),
         config_version: context.operator_version.get(),
         target_update: target_updates::next_message(context),
-        leaving: recent_leaving(context),
+        notices: notices_in_force(context),
     });
     let own = context.settings.listen.heartbeats;
     let others = membership.members().iter().map(|it| it.address);
--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -4,8 +4,9 @@
 //! them short, as every request asks for a permit.
 
 use {
-    crate::views::target_updates::TargetUpdateMessage,
+    crate::views::{target_notices::TargetNotice, target_updates::TargetUpdateMessage},
     cowslip_decide::{
+        limits::RateLimit,
         names::{Fence, Name, StoreVersion},
         owners::{Assignment, TargetIncarnation},
     },
@@ -28,9 +29,8 @@
     LeadershipOffer,
     /// From an instance to the leader, periodically.
     Report(InstanceReport),
-    /// From an instance to the leader: a target has announced in a response that it is about to
-    /// stop.
-    TargetLeaving(WireIncarnation),
+    /// From an instance to the leader: what targets have said of themselves in responses.
+    TargetNotices(Vec<WireNotice>),
     /// Asks a pool's coordinator for a permit to send a request to a target.
     PermitRequest {
         /// Number of the permit request, unique at its sender.
@@ -79,6 +79,8 @@
         slowdown: Option<f32>,
         /// Milliseconds for which the target wants no requests from the sender.
         quiet_ms: Option<u64>,
+        /// What the target has said of itself in its response.
+        notice: Option<WireNotice>,
     },
 }
 
@@ -99,8 +101,8 @@
     pub config_version: StoreVersion,
     /// Recent changes of targets, or a confirmation that there are none.
     pub target_update: TargetUpdateMessage,
-    /// Targets that have recently announced in their responses that they are about to stop.
-    pub leaving: Vec<WireIncarnation>,
+    /// What targets say of themselves in their responses.
+    pub notices: Vec<WireNotice>,
 }
 
 /// Load and state of an instance, sent to the leader.
@@ -120,13 +122,14 @@
     pub key_counts: BTreeMap<Name, Vec<(u16, u32)>>,
     /// Service times in milliseconds of the targets whose pools the instance coordinates.
     pub service_times: BTreeMap<Name, u32>,
-    /// Targets that have recently announced in their responses that they are about to stop.
-    pub leaving: Vec<WireIncarnation>,
+    /// What targets have lately said of themselves in responses to the instance.
+    pub notices: Vec<WireNotice>,
 }
 
-/// Id and incarnation of a target.
+/// Id and incarnation of a target, whether it is about to stop, its limit in thousandths of a request
+/// per second, and when this was observed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct WireIncarnation(Name, u64);
+pub struct WireNotice(pub Name, pub u64, pub bool, pub Option<u64>, pub u64);
 
 /// Version of a service's recorded assignments, with a recent change or with all of them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -146,16 +149,27 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireAssignment(u16, u16, Option<(Name, u64)>, u64);
 
-impl From<&TargetIncarnation> for WireIncarnation {
-    fn from(target: &TargetIncarnation) -> Self {
-        Self(target.id.clone(), target.incarnation)
+impl From<&TargetNotice> for WireNotice {
+    fn from(notice: &TargetNotice) -> Self {
+        Self(
+            notice.target.id.clone(),
+            notice.target.incarnation,
+            notice.leaving,
+            notice.rate_limit.map(|it| it.millis),
+            notice.observed_at.into(),
+        )
     }
 }
 
-impl From<WireIncarnation> for TargetIncarnation {
-    fn from(wire: WireIncarnation) -> Self {
-        let WireIncarnation(id, incarnation) = wire;
-        Self { id, incarnation }
+impl From<WireNotice> for TargetNotice {
+    fn from(wire: WireNotice) -> Self {
+        let WireNotice(id, incarnation, leaving, limit, observed_at) = wire;
+        Self {
+            target: TargetIncarnation { id, incarnation },
+            leaving,
+            rate_limit: limit.map(|millis| RateLimit { millis }),
+            observed_at: observed_at.into(),
+        }
     }
 }
 
--- a/crates/cowslipcross/src/peers/message_tests.rs
+++ b/crates/cowslipcross/src/peers/message_tests.rs
@@ -1,7 +1,7 @@
 //! Encoding of messages: complete, short, and malformed ones are noticed.
 
 use {
-    super::{Message, WireIncarnation},
+    super::{Message, WireNotice},
     quickcheck::quickcheck,
 };
 
@@ -18,15 +18,20 @@
     }
 }
 
+fn notice() -> WireNotice {
+    WireNotice("a".into(), 1_764_838_800_123, true, Some(1_500), 1 << 60)
+}
+
 fn messages() -> [Message; 5] {
     [
         permit_request(),
-        Message::TargetLeaving(WireIncarnation("a".into(), 1_764_838_800_123)),
+        Message::TargetNotices(vec![notice()]),
         Message::PermitReturned {
             number: 7,
             outcome: 1,
             slowdown: Some(1.25),
             quiet_ms: Some(1_500),
+            notice: Some(notice()),
         },
         Message::LeadershipOffer,
         Message::Members("10.0.0.1:7660=20".into()),
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -5,7 +5,7 @@
         counter_guard::CounterGuard,
         request::CallerRequest,
         response_memory::ResponseMemory,
-        target_connections::{ConnectError, Connection, TargetConnections},
+        target_connections::{ConnectError, Connection, LimitStatement, TargetConnections},
     },
     bytes::Bytes,
     cowslip_adapter::{
@@ -199,10 +199,6 @@
     if let Some(load) = metadata.load {
         target.load.set(Some((load, Instant::now())));
     }
-    // A refusal without a limit may come from another target that has the address now.
-    if metadata.rate_limit.is_some() || !metadata.not_executed {
-        target.rate_limit.set(metadata.rate_limit);
-    }
     let body_timeout = match metadata.not_executed {
         true => REFUSAL_BODY_TIMEOUT,
         // The caller of this function sets the limit.
@@ -227,6 +223,10 @@
     if complete.status.is_success() && !metadata.signed {
         return ExchangeOutcome::Broken("response without a signature");
     }
+    // Refusals need not name the limit.
+    if metadata.rate_limit.is_none() {
+        target.limit_statement.set(Some(LimitStatement::Unlimited));
+    }
     ExchangeOutcome::Completed(complete)
 }
 
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -9,14 +9,13 @@
             exchange::{self, ExchangeOutcome},
             permits::{self, Permit, PermitResult},
             request::CallerRequest,
-            target_connections::{ConnectError, TargetConnections},
+            target_connections::{ConnectError, LimitStatement, TargetConnections},
             target_selection::{self, Selection, select_target},
         },
-        views::leaving_targets,
+        views::target_notices::{self, NoticeSource, TargetNotice},
     },
     cowslip_decide::{
         attempts::{AttemptHistory, AttemptOutcome, FinalError, NextAction, RetryPolicy},
-        limits::RateLimit,
         names::Name,
         owners::TargetIncarnation,
         permits::PermitOutcome,
@@ -96,7 +95,7 @@
     }
     // With a permit, the coordinator limits the rate of a cold target.
     if permit.is_none()
-        && let Err(wait) = target_selection::take_cold_token(context, request, target)
+        && let Err(wait) = target_selection::admit_without_permit(context, request, target)
     {
         return Step::Finish(overload_outcome(history, wait));
     }
@@ -170,7 +169,11 @@
     let (context, target) = (context.clone(), target.clone());
     let request = request.clone();
     let is_idempotent = request.route.idempotent;
-    let known_limit = connections.rate_limit.get();
+    let incarnation = TargetIncarnation {
+        id: target.clone(),
+        incarnation: connections.incarnation,
+    };
+    let known_limit = context.target_notices.borrow().rate_limit(&incarnation);
     if known_limit.is_some() {
         context.metrics.count_limited_send(permit.is_some());
     }
@@ -183,12 +186,16 @@
             max_connections,
         )
         .await;
-        let quiet_time = apply_notices(&context, &request.service, &connections, &target);
-        record_limit_change(&context, &target, known_limit, connections.rate_limit.get());
+        let quiet_time = apply_quiet_period(&context, &request.service, &connections, &incarnation);
+        let notice = read_notice(&context, &connections, &incarnation);
+        if let Some(notice) = &notice {
+            target_notices::record(&context, notice.clone(), NoticeSource::OwnRequest);
+        }
         if let Some(permit) = permit {
             permit.outcome.set(permit_outcome(&exchange_outcome));
             permit.slowdown.set(connections.slowdown());
             permit.quiet_time.set(quiet_time);
+            permit.notice.replace(notice);
         }
         exchange_outcome
     };
@@ -199,51 +206,47 @@
     joined.unwrap_or(ExchangeOutcome::Broken("task of the attempt failed"))
 }
 
-/// Applies what a target has told about itself in its responses; returns the rest of the time for
-/// which it wants no requests from this instance.
-fn apply_notices(
+/// Returns what a target has said of itself in its responses; `None` if nothing is to be told of it.
+fn read_notice(
+    context: &Context,
+    connections: &TargetConnections,
+    target: &TargetIncarnation,
+) -> Option<TargetNotice> {
+    let leaving = connections.is_leaving.get();
+    let known_limit = context.target_notices.borrow().rate_limit(target);
+    let (rate_limit, is_news) = match connections.limit_statement.take() {
+        Some(LimitStatement::Limited(limit)) => (Some(limit), true),
+        Some(LimitStatement::Unlimited) => (None, known_limit.is_some()),
+        None => (known_limit, false),
+    };
+    (leaving || is_news).then(|| TargetNotice {
+        target: target.clone(),
+        leaving,
+        rate_limit,
+        observed_at: context.events.next_timestamp(),
+    })
+}
+
+/// Applies the quiet period that a target has asked for; returns the rest of the time for which it
+/// wants no requests from this instance.
+fn apply_quiet_period(
     context: &Context,
     service: &Name,
     connections: &TargetConnections,
-    target: &Name,
+    target: &TargetIncarnation,
 ) -> Option<Duration> {
-    let target = TargetIncarnation {
-        id: target.clone(),
-        incarnation: connections.incarnation,
-    };
-    if connections.is_leaving.get() {
-        leaving_targets::record(context, &target, "response to a request");
-    }
     let now = Instant::now();
     let end = connections.quiet_until.get().filter(|end| *end > now)?;
     let mut quiet_targets = context.quiet_targets.borrow_mut();
-    if quiet_targets.record(service, &target, end, now) {
+    if quiet_targets.record(service, target, end, now) {
         drop(quiet_targets);
-        record_quiet_period(context, &target, end - now);
+        record_quiet_period(context, target, end - now);
         // Requests that wait for a permit for this target are refused.
         context.routing_changed.notify_waiters();
     }
     Some(end - now)
 }
 
-/// Records that a target has named another limit than before the request, or none any more.
-fn record_limit_change(
-    context: &Context,
-    target: &Name,
-    before: Option<RateLimit>,
-    now: Option<RateLimit>,
-) {
-    if before == now {
-        return;
-    }
-    let fields = EventFields {
-        target: Some(target.clone()),
-        detail: Some(now.map_or("no more".into(), |it| format!("{} a second", it.rate()))),
-        ..EventFields::default()
-    };
-    context.events.record(events::TARGET_LIMITED, fields);
-}
-
 fn record_quiet_period(context: &Context, target: &TargetIncarnation, period: Duration) {
     let fields = EventFields {
         target: Some(target.id.clone()),
--- a/crates/cowslipcross/src/serve/permits.rs
+++ b/crates/cowslipcross/src/serve/permits.rs
@@ -7,8 +7,9 @@
 use {
     crate::{
         context::Context,
-        peers::{datagram, message::Message},
+        peers::{datagram, heartbeat_protocol, message::Message},
         serve::request::CallerRequest,
+        views::target_notices::TargetNotice,
     },
     cowslip_decide::{
         names::Name,
@@ -78,6 +79,8 @@
     pub slowdown: Cell<Option<f64>>,
     /// Time for which the target wants no requests from this instance.
     pub quiet_time: Cell<Option<Duration>>,
+    /// What the target has said of itself in its response.
+    pub notice: RefCell<Option<TargetNotice>>,
 }
 
 /// Result of a permit request.
@@ -99,6 +102,7 @@
             outcome: encode_outcome(self.outcome.get()),
             slowdown: self.slowdown.get().map(|it| it as f32),
             quiet_ms: self.quiet_time.get().map(|it| it.as_millis() as u64),
+            notice: self.notice.borrow().as_ref().map(Into::into),
         };
         self.context
             .permits
@@ -174,6 +178,7 @@
         outcome: Cell::new(PermitOutcome::Unused),
         slowdown: Cell::new(None),
         quiet_time: Cell::new(None),
+        notice: RefCell::default(),
     };
     (permit, pending)
 }
@@ -257,7 +262,9 @@
             outcome,
             slowdown,
             quiet_ms,
+            notice,
         } => {
+            heartbeat_protocol::handle_notices(context, Vec::from_iter(notice));
             let report = PermitReport {
                 outcome: decode_outcome(outcome),
                 slowdown: slowdown.map(f64::from),
@@ -418,6 +425,7 @@
     let max_rate = config.map_or(0.0, |it| it.cold_rate * PERMIT_RATE_FACTOR);
     let targets = context.targets.borrow();
     let withdrawn = context.withdrawn.borrow();
+    let notices = context.target_notices.borrow();
     targets
         .for_service(service)
         .filter(|view| match owner {
@@ -432,7 +440,7 @@
                 slots: view.report.slots.min(1000) as u32,
                 data_centre: view.report.data_centre.clone(),
                 cold_rate: view.is_cold(now).then_some(max_rate),
-                rate_limit: None,
+                rate_limit: notices.rate_limit(&view.target_incarnation()),
             };
             (view.report.id.clone(), pool_target)
         })
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -58,6 +58,15 @@
     Failed,
 }
 
+/// What a response says of a limit on the requests of all instances together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitStatement {
+    /// The target takes so many requests.
+    Limited(RateLimit),
+    /// The target has run a request and names no limit.
+    Unlimited,
+}
+
 /// Connections to one incarnation of a target.
 #[derive(Debug)]
 pub struct TargetConnections {
@@ -79,8 +88,8 @@
     pub quiet_until: Cell<Option<Instant>>,
     /// Whether the target has announced in a response that it is about to stop.
     pub is_leaving: Cell<bool>,
-    /// Requests that the target takes from all instances together; `None` if it names no limit.
-    pub rate_limit: Cell<Option<RateLimit>>,
+    /// What the latest response says of a limit, until it is applied.
+    pub limit_statement: Cell<Option<LimitStatement>>,
     idle: RefCell<Vec<Connection>>,
     open_count: Cell<u32>,
 }
@@ -104,7 +113,7 @@
             avoid_until: Cell::new(None),
             quiet_until: Cell::new(None),
             is_leaving: Cell::new(false),
-            rate_limit: Cell::new(None),
+            limit_statement: Cell::new(None),
             idle: RefCell::default(),
             open_count: Cell::new(0),
         }
@@ -125,6 +134,10 @@
         if metadata.leaving {
             self.is_leaving.set(true);
         }
+        if let Some(limit) = metadata.rate_limit {
+            self.limit_statement
+                .set(Some(LimitStatement::Limited(limit)));
+        }
         let end = metadata.quiet_period.map(|period| now + period);
         self.quiet_until.set(self.quiet_until.get().max(end));
     }
--- a/crates/cowslipcross/src/serve/target_selection.rs
+++ b/crates/cowslipcross/src/serve/target_selection.rs
@@ -107,6 +107,12 @@
     Selection::Owner(connections_to(context, view, now), view.report.id.clone())
 }
 
+/// Returns whether a target has named a limit.
+fn is_limited(context: &Context, view: &TargetView) -> bool {
+    let notices = context.target_notices.borrow();
+    notices.rate_limit(&view.target_incarnation()).is_some()
+}
+
 /// Returns the rest of the time for which a target wants no requests from this instance.
 fn quiet_time(context: &Context, view: &TargetView, now: Instant) -> Option<Duration> {
     let quiet_targets = context.quiet_targets.borrow();
@@ -173,11 +179,13 @@
     view.draining_since.is_none() && !is_withdrawn(context, view, now, 0.0)
 }
 
-/// Uses a token of this instance's share of a cold target's rate; a warm target needs none.
+/// Checks whether a target may get a request without a permit. That uses a token of this instance's
+/// share of a cold target's rate. A target that has named a limit gets no requests without a permit, as
+/// instances that each use a share of a low limit could send at the same moment.
 ///
 /// # Errors
-/// Returns the time until the next token if there is none.
-pub fn take_cold_token(
+/// Returns the time after which a retry may succeed if the target may not get the request now.
+pub fn admit_without_permit(
     context: &Context,
     request: &CallerRequest,
     target: &Name,
@@ -188,6 +196,12 @@
         .as_ref()
         .and_then(|it| it.services.get(&request.service));
     let targets = context.targets.borrow();
+    if targets
+        .get(target)
+        .is_some_and(|view| is_limited(context, view))
+    {
+        return Err(RESELECT_INTERVAL);
+    }
     let cold = targets.get(target).filter(|view| view.is_cold(now));
     match (service, cold) {
         (Some(service), Some(view)) => {
@@ -199,7 +213,8 @@
 
 /// Selects a target of an unsharded service without a permit, except those in `excluded`.
 ///
-/// Warm targets are preferred, by expected response time; cold ones are limited in their rate.
+/// Warm targets are preferred, by expected response time; cold ones are limited in their rate, and those
+/// that have named a limit get nothing.
 ///
 /// # Errors
 /// Returns the time after which a retry may succeed if no target may get the request now.
@@ -215,7 +230,9 @@
         .filter(|view| is_available(context, view, now))
         .filter(|view| !excluded.contains(&view.report.id))
         .collect();
-    let warm = available.iter().filter(|view| !view.is_cold(now));
+    let warm = available
+        .iter()
+        .filter(|view| !view.is_cold(now) && !is_limited(context, view));
     let best = warm
         .map(|view| {
             let connections = connections_to(context, view, now);
@@ -232,7 +249,7 @@
     }
     let mut retry_after = RESELECT_INTERVAL;
     for view in available {
-        match take_cold_token(context, request, &view.report.id) {
+        match admit_without_permit(context, request, &view.report.id) {
             Ok(()) => return Ok((connections_to(context, view, now), view.report.id.clone())),
             Err(wait) => retry_after = wait,
         }
--- a/crates/cowslipcross/src/views.rs
+++ b/crates/cowslipcross/src/views.rs
@@ -1,9 +1,9 @@
 //! The instance's local copies of the operators' configuration and of the targets' reports.
 
 pub mod config;
-pub mod leaving_targets;
 pub mod store_era;
 mod store_health;
+pub mod target_notices;
 pub mod target_snapshot;
 pub mod target_updates;
 pub mod targets;
--- a/crates/cowslipcross/tests/instance/limited_targets.rs
+++ b/crates/cowslipcross/tests/instance/limited_targets.rs
@@ -1,7 +1,7 @@
 //! Tests of targets that name a limit on the requests of all instances together.
 
 use {
-    crate::deployment::{Deployment, booking_request, lookup_request},
+    crate::deployment::{Deployment, Instance, booking_request, lookup_request, wait_until},
     cowslip_adapter_standins::target::{FakeTarget, TargetMode},
     futures_util::future::join_all,
     http::StatusCode,
@@ -59,9 +59,45 @@
 async fn a_target_that_names_a_limit_gets_no_more_from_all_instances_together() {
     let deployment = Deployment::start(3, 2, 2, PROCESSING_TIME).await;
     let limited = [&deployment.boards[0], &deployment.crews[0]];
-    limited.map(|target| target.set_mode(TargetMode::NameLimit(LIMIT)));
+    for target in limited {
+        target.set_mode(TargetMode::NameLimit(LIMIT));
+    }
     let named_at = Instant::now();
     let served = press(&deployment, &[0, 1, 2], CONTACT + 2 * SPAN).await;
     assert!(served.0 > 0 && served.1 > 0, "{served:?}");
-    limited.map(|target| assert_limit_kept(target, named_at + CONTACT));
+    for target in limited {
+        assert_limit_kept(target, named_at + CONTACT);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_named_limit_is_kept_when_the_leader_is_lost_and_instances_restart() {
+    let mut deployment = Deployment::start(4, 2, 2, PROCESSING_TIME).await;
+    for target in [&deployment.boards[0], &deployment.crews[0]] {
+        target.set_mode(TargetMode::NameLimit(LIMIT));
+    }
+    let named_at = Instant::now();
+    // Long enough for the limit to be no news any more.
+    press(&deployment, &[0, 1, 2, 3], 2 * CONTACT).await;
+    let leader = deployment.find_leader().await;
+    drop(deployment.instances.remove(leader));
+    press(&deployment, &[0, 1, 2], CONTACT).await;
+    let restarted = Instance::start("later", deployment.store.address());
+    deployment.instances.push(restarted);
+    drop(deployment.instances.remove(0));
+    wait_until(|| deployment.instances[2].is_ready()).await;
+    press(&deployment, &[0, 1, 2], 2 * SPAN).await;
+    for target in [&deployment.boards[0], &deployment.crews[0]] {
+        assert_limit_kept(target, named_at + CONTACT);
+    }
+    // The target answers without a limit, and gets its part of the requests again.
+    deployment.crews[0].set_mode(TargetMode::Normal);
+    press(&deployment, &[0, 1, 2], SPAN).await;
+    let lifted_at = Instant::now();
+    press(&deployment, &[0, 1, 2], SPAN).await;
+    let arrivals = deployment.crews[0].peak_arrivals(lifted_at, SPAN);
+    assert!(
+        arrivals > 2 * MAX_ARRIVALS,
+        "{arrivals} requests in {SPAN:?}"
+    );
 }
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -9,6 +9,12 @@
 /// requests.
 const BUDGET_USABLE_RATIO: f64 = 0.7;
 
+/// Part of a named limit that a coordinator uses. While the coordinator of a pool changes, two of
+/// them give permits.
+const USABLE_LIMIT_RATIO: f64 = 0.75;
+/// Requests per second that a target gets whatever its limit: only a response tells that it has
+/// lifted the limit.
+const MIN_LIMITED_RATE: f64 = 0.25;
 /// Longest wait for a token that is reported.
 const MAX_TOKEN_WAIT: Duration = Duration::from_secs(60);
 
@@ -103,6 +109,11 @@
     pub fn rate(self) -> f64 {
         self.millis as f64 / 1000.0
     }
+
+    /// Returns the number of requests per second that one coordinator lets through.
+    pub fn usable_rate(self) -> f64 {
+        (USABLE_LIMIT_RATIO * self.rate()).max(MIN_LIMITED_RATE)
+    }
 }
 
 /// Token bucket of size 1.
--- a/crates/decide/src/permits/target_state.rs
+++ b/crates/decide/src/permits/target_state.rs
@@ -22,13 +22,6 @@
 /// Age from which a reported slowdown is ignored.
 const MAX_SLOWDOWN_AGE: Duration = Duration::from_millis(300);
 
-/// Part of a named limit that a coordinator uses. While the coordinator of a pool changes, two of
-/// them give permits.
-const USABLE_LIMIT_RATIO: f64 = 0.75;
-/// Requests per second that a target gets whatever its limit: only a response tells that it has
-/// lifted the limit.
-const MIN_LIMITED_RATE: f64 = 0.25;
-
 #[derive(Debug)]
 pub(super) struct TargetState<A: Ord> {
     pub info: PoolTarget,
@@ -92,7 +85,7 @@
 
     /// Returns the requests per second that the target may get; `None` if there is no limit.
     fn max_rate(&self) -> Option<f64> {
-        let named = self.info.rate_limit.map(usable_rate);
+        let named = self.info.rate_limit.map(RateLimit::usable_rate);
         let rates = named.into_iter().chain(self.info.cold_rate);
         rates.min_by(f64::total_cmp)
     }
@@ -195,7 +188,3 @@
         }
     }
 }
-
-fn usable_rate(limit: RateLimit) -> f64 {
-    (USABLE_LIMIT_RATIO * limit.rate()).max(MIN_LIMITED_RATE)
-}
