fix(permits): two coordinators together stay within a cold target's rate

The same class of fault as the limits that were not kept: what bounds all instances together was counted by one of them. While the coordinator of a pool changes, two of them give permits, each 1.1 times the target's rate, which with rates above 4 a second exceeds what cold targets bear (one and a half times the rate, and 5 requests).

Change: from 4.3 a second on a coordinator uses three quarters of the rate and 1.5 a second more. Lower rates, such as the 3.1 of the boards, keep their 1.1 times.

Evidence: the new test presses two coordinators in turn; it failed with 26 permits in a second of 21 allowed for a rate of 11 (computed; with the raw rates as bounds 100 of 80 for a rate of 50 were seen) and passes now.

--- a/crates/cowslipcross/src/serve/permits.rs
+++ b/crates/cowslipcross/src/serve/permits.rs
@@ -41,9 +41,6 @@
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval at which the coordinator processes its queues.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Factor on the configured rate of a cold target. In any one second it may get somewhat more than
-/// that rate, by an allowance that the router does not know; 1.1 stays below it.
-const PERMIT_RATE_FACTOR: f64 = 1.1;
 
 /// Identifies a pool: a service, and the target if the service is sharded.
 pub type PoolKey = (Name, Option<Name>);
@@ -422,7 +419,7 @@
     let (service, owner) = pool_key;
     let config = context.config.borrow();
     let config = config.as_ref().and_then(|it| it.services.get(service));
-    let max_rate = config.map_or(0.0, |it| it.cold_rate * PERMIT_RATE_FACTOR);
+    let cold_rate = config.map_or(0.0, |it| it.cold_rate);
     let targets = context.targets.borrow();
     let withdrawn = context.withdrawn.borrow();
     let notices = context.target_notices.borrow();
@@ -439,7 +436,7 @@
             let pool_target = PoolTarget {
                 slots: view.report.slots.min(1000) as u32,
                 data_centre: view.report.data_centre.clone(),
-                cold_rate: view.is_cold(now).then_some(max_rate),
+                cold_rate: view.is_cold(now).then_some(cold_rate),
                 rate_limit: notices.rate_limit(&view.target_incarnation()),
             };
             (view.report.id.clone(), pool_target)
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -15,6 +15,12 @@
 /// Requests per second that a target gets whatever its limit: only a response tells that it has
 /// lifted the limit.
 const MIN_LIMITED_RATE: f64 = 0.25;
+/// Part of a cold target's rate that a coordinator uses. In any one second the target bears somewhat
+/// more than its rate.
+const COLD_RATE_RATIO: f64 = 1.1;
+/// Upper bound on that for high rates: a ratio, and requests per second beyond it. While the
+/// coordinator of a pool changes, two of them give permits.
+const SHARED_COLD_RATE: (f64, f64) = (0.75, 1.5);
 /// Longest wait for a token that is reported.
 const MAX_TOKEN_WAIT: Duration = Duration::from_secs(60);
 
@@ -116,6 +122,12 @@
     }
 }
 
+/// Returns the requests per second that one coordinator lets through to a cold target with this rate.
+pub fn usable_cold_rate(rate: f64) -> f64 {
+    let (ratio, extra) = SHARED_COLD_RATE;
+    (COLD_RATE_RATIO * rate).min(ratio * rate + extra)
+}
+
 /// Token bucket of size 1.
 #[derive(Debug)]
 pub struct TokenBucket {
--- a/crates/decide/src/permits/target_state.rs
+++ b/crates/decide/src/permits/target_state.rs
@@ -5,7 +5,7 @@
         PermitOutcome, PermitReport, PermitRequest, PermitRequestId, PoolTarget, failures::Failures,
     },
     crate::{
-        limits::{RateLimit, TokenBucket},
+        limits::{RateLimit, TokenBucket, usable_cold_rate},
         service_time::{ServiceTime, TargetEstimate},
     },
     std::{collections::BTreeMap, time::Duration},
@@ -86,7 +86,9 @@
     /// Returns the requests per second that the target may get; `None` if there is no limit.
     fn max_rate(&self) -> Option<f64> {
         let named = self.info.rate_limit.map(RateLimit::usable_rate);
-        let rates = named.into_iter().chain(self.info.cold_rate);
+        let rates = named
+            .into_iter()
+            .chain(self.info.cold_rate.map(usable_cold_rate));
         rates.min_by(f64::total_cmp)
     }
 
--- a/crates/decide/tests/permits.rs
+++ b/crates/decide/tests/permits.rs
@@ -255,16 +255,16 @@
     targets
 }
 
-/// Presses two coordinators of a target, which every caller of changes after `turn` ticks of 10 ms,
-/// for 20 s; returns the most permits within 4 s.
-fn peak_permits(limit: f64, turn: u64) -> usize {
+/// Presses two coordinators of these targets, between which every caller changes after `turn` ticks
+/// of 10 ms, for 20 s; returns the most permits within `span` ticks.
+fn peak_permits(targets: &BTreeMap<Name, PoolTarget>, turn: u64, span: u64) -> usize {
     let start = Instant::now();
     let mut pools: [Pool<u8>; 2] = Default::default();
     let mut granted_at = Vec::new();
     for tick in 0..2000 {
         let now = start + millis(10 * tick);
         for (index, pool) in pools.iter_mut().enumerate() {
-            pool.update_targets(&limited_targets(&[("a", None)], limit), now);
+            pool.update_targets(targets, now);
             let is_asked = tick / turn % 2 == index as u64;
             let mut replies = pool.process_queue(now);
             if is_asked {
@@ -280,10 +280,10 @@
         }
     }
     let count = |from: u64| {
-        let span = from..from + 400;
+        let span = from..from + span;
         granted_at.iter().filter(|it| span.contains(it)).count()
     };
-    (0..1600).map(count).max().unwrap_or(0)
+    (0..2000 - span).map(count).max().unwrap_or(0)
 }
 
 #[test]
@@ -292,7 +292,22 @@
         // What the users allow: one and a half times the limit, and 5 requests.
         let allowed = (1.5 * limit * 4.0 + 5.0) as usize;
         for turn in [1, 50, 4000] {
-            let peak = peak_permits(limit, turn);
+            let peak = peak_permits(&limited_targets(&[("a", None)], limit), turn, 400);
+            assert!(
+                (1..=allowed).contains(&peak),
+                "{peak} of {allowed}, turns of {turn}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_cold_target_gets_no_more_than_it_bears_while_its_coordinator_changes() {
+    for rate in [0.5, 3.1, 5.0, 11.0, 50.0] {
+        // What the users allow: one and a half times the rate, and 5 requests.
+        let allowed = (1.5 * rate + 5.0) as usize;
+        for turn in [1, 50, 4000] {
+            let peak = peak_permits(&pool_targets(&[("a", Some(rate))]), turn, 100);
             assert!(
                 (1..=allowed).contains(&peak),
                 "{peak} of {allowed}, turns of {turn}"
