fix(serve): a connection given up while it is opened no longer counts as open

Cause: the count of open connections was raised before the connection was opened and lowered only by the code after it, which does not run if the caller leaves or the deadline passes meanwhile. Each such request took one of the few connections that this instance may have to the target, for the rest of its incarnation.

--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -1,7 +1,7 @@
 //! Connections to one incarnation of a target, and the load that its responses reported.
 
 use {
-    crate::serve::exchange::RequestBody,
+    crate::serve::{counter_guard::CounterGuard, exchange::RequestBody},
     cowslip_adapter::{
         headers::{Load, ResponseMetadata},
         http_client::MAX_READ_BUFFER_BYTES,
@@ -17,6 +17,7 @@
     std::{
         cell::{Cell, RefCell},
         io,
+        mem::forget,
         net::SocketAddr,
         time::Duration,
     },
@@ -165,15 +166,17 @@
         if self.open_count.get() >= max_connections {
             return Err(ConnectError::LimitReached);
         }
-        self.open_count.set(self.open_count.get() + 1);
+        // Callers may leave meanwhile, and then drop this.
+        let counted = CounterGuard::new(&self.open_count);
         let opened = timeout(CONNECT_TIMEOUT, connect(self.address)).await;
         match opened {
             Ok(Ok(connection)) => {
                 self.avoid_until.set(None);
+                // The connection counts until it is closed.
+                forget(counted);
                 Ok(connection)
             }
             _ => {
-                self.count_closed();
                 self.avoid_until.set(Some(Instant::now() + AVOID_DURATION));
                 Err(ConnectError::Failed)
             }
@@ -226,3 +229,7 @@
         idle_since: Instant::now(),
     })
 }
+
+#[cfg(test)]
+#[path = "target_connections_tests.rs"]
+mod tests;
