feat(serve): content of requests and ends of targets in the log

Change: events about an attempt contain a fingerprint of the request's content. After a connection that was closed without a response, the instance checks whether the target accepts another, which is kept for reuse: if not, CC0511 says that the target ended under the request, and a counter counts it.

--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -109,6 +109,9 @@
     510 MAY_HAVE_RUN Warn FREQUENT_RATE; "no complete response to request {request}: {detail}";
         "The target sent no complete response; the verdict is `may-have-run`.";
         "See the page on unserved requests.";
+    511 TARGET_ENDED Warn FREQUENT_RATE; "target {target} ended while it ran request {request}: {detail}";
+        "The target closed the connection without a response and accepts no other one.";
+        "Compare the content of the requests under which targets end; if it is the same, look for its caller.";
     601 SETTINGS_RELOADED Info None; "settings reloaded: {detail}";
         "The process uses the section `bounds` of the settings file as it is now; other changes need a restart."; "Nothing.";
     602 SETTINGS_RELOAD_FAILED Error None; "settings not reloaded: {detail}";
--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -27,6 +27,7 @@
     bad_datagrams: IntCounter,
     permit_timeouts: IntCounter,
     limited_sends: IntCounterVec,
+    target_ends: IntCounterVec,
     retries: IntCounterVec,
     targets: IntGauge,
     unreadable_reports: IntGauge,
@@ -85,6 +86,11 @@
                 "Requests sent to targets that have named a limit.",
                 &["permit"],
             ),
+            target_ends: registry.counter_with_labels(
+                "target_ends_total",
+                "Requests that ran at a target when it ended.",
+                &["service"],
+            ),
             retries: registry.counter_with_labels(
                 "repeats_total",
                 "Repeated sends that were asked of the instance's share of the bound.",
@@ -197,6 +203,11 @@
         self.limited_sends.with_label_values(&[permit]).inc();
     }
 
+    /// Counts a request that ran at a target when it ended.
+    pub fn count_target_end(&self, service: &str) {
+        self.target_ends.with_label_values(&[service]).inc();
+    }
+
     /// Sets the number of targets that report themselves and of unreadable reports.
     pub fn set_target_reports(&self, targets: usize, unreadable: usize) {
         self.targets.set(targets as i64);
--- a/crates/cowslipcross/src/serve.rs
+++ b/crates/cowslipcross/src/serve.rs
@@ -4,6 +4,7 @@
 pub mod caller_response;
 pub mod counter_guard;
 pub mod exchange;
+pub mod fingerprints;
 pub mod forward;
 pub mod permits;
 pub mod quiet_targets;
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -42,6 +42,9 @@
     pub body: Bytes,
 }
 
+/// Cause of [`ExchangeOutcome::Broken`] if the target closed the connection or has ended.
+const CONNECTION_CLOSED: &str = "connection closed before the response";
+
 /// How an attempt to send a request to a target ended.
 #[derive(Clone, Debug)]
 pub enum ExchangeOutcome {
@@ -58,6 +61,14 @@
     TimedOut,
 }
 
+impl ExchangeOutcome {
+    /// Returns whether the connection was closed after the request had at least partly been sent and
+    /// before any response.
+    pub fn is_closed(&self) -> bool {
+        matches!(self, Self::Broken(cause) if *cause == CONNECTION_CLOSED)
+    }
+}
+
 /// A connection in use; counted as closed on drop unless it was returned for reuse.
 struct ActiveConnection<'a> {
     target_connections: &'a TargetConnections,
@@ -171,9 +182,8 @@
         Ok(response) => Some(receive_response(memory, active, response, request).await),
         Err(mut error) => match error.take_message() {
             Some(_) => None,
-            None => Some(ExchangeOutcome::Broken(
-                "connection closed before the response",
-            )),
+            None if error.error().is_parse() => Some(ExchangeOutcome::Broken("malformed response")),
+            None => Some(ExchangeOutcome::Broken(CONNECTION_CLOSED)),
         },
     }
 }
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -186,6 +186,9 @@
             max_connections,
         )
         .await;
+        if exchange_outcome.is_closed() && !connections.is_alive(max_connections).await {
+            record_target_end(&context, &request, &target);
+        }
         let quiet_time = apply_quiet_period(&context, &request.service, &connections, &incarnation);
         let notice = read_notice(&context, &connections, &incarnation);
         if let Some(notice) = &notice {
@@ -206,6 +209,18 @@
     joined.unwrap_or(ExchangeOutcome::Broken("task of the attempt failed"))
 }
 
+/// Records that a target has ended while it ran a request.
+fn record_target_end(context: &Context, request: &CallerRequest, target: &Name) {
+    context.metrics.count_target_end(&request.service);
+    record_event(
+        context,
+        events::TARGET_ENDED,
+        request,
+        target,
+        "crashed or killed",
+    );
+}
+
 /// Returns what a target has said of itself in its responses; `None` if nothing is to be told of it.
 fn read_notice(
     context: &Context,
@@ -410,7 +425,8 @@
     cause: &str,
 ) {
     let detail = format!(
-        "{cause}, service {}, {}, {} ms left",
+        "{cause}, content {}, service {}, {}, {} ms left",
+        request.fingerprints.content,
         request.service,
         context.describe_views(&request.service),
         request
--- a/crates/cowslipcross/src/serve/request.rs
+++ b/crates/cowslipcross/src/serve/request.rs
@@ -1,14 +1,17 @@
 //! Reading and validation of callers' requests.
 
 use {
-    crate::context::Context,
+    crate::{
+        context::Context,
+        serve::fingerprints::{Fingerprints, RequestContent},
+    },
     bytes::Bytes,
     cowslip_adapter::{config::Route, headers},
     cowslip_decide::names::Name,
     http::{HeaderMap, HeaderValue, Method, StatusCode, header, request::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
-    std::{rc::Rc, time::Duration},
+    std::{net::IpAddr, rc::Rc, time::Duration},
     tokio::time::{Instant, timeout_at},
 };
 
@@ -31,6 +34,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Fingerprints of the content.
+    pub fingerprints: Fingerprints,
     /// When the request's head had been read.
     pub arrived: Instant,
     /// Time by which the caller needs the response.
@@ -87,7 +92,7 @@
     }
 }
 
-/// Reads the whole request, finds its route and chooses its service.
+/// Reads the whole request of a caller with this address, finds its route and chooses its service.
 ///
 /// # Errors
 /// Fails if the request is not valid, matches no route, or is not complete by its deadline.
@@ -95,7 +100,7 @@
     context: &Context,
     parts: Parts,
     body: Incoming,
-    arrived: Instant,
+    (arrived, caller): (Instant, Option<IpAddr>),
 ) -> Result<CallerRequest, BadRequest> {
     let config = context.config.borrow().clone();
     let config = config.ok_or(BadRequest::NoConfig)?;
@@ -111,12 +116,22 @@
     }
     let body = read_body(body, config.limits.body_bytes, deadline).await?;
     let path = parts.uri.path_and_query();
+    let path = path.map_or_else(|| "/".to_owned(), ToString::to_string);
+    let key = key.filter(|_| is_sharded);
+    let content = RequestContent {
+        method: parts.method.as_str(),
+        host: headers::get_str(&parts.headers, &header::HOST).unwrap_or_default(),
+        path: &path,
+        key,
+        body: &body,
+    };
     Ok(CallerRequest {
         id,
         service,
-        key: key.filter(|_| is_sharded),
+        key,
+        fingerprints: Fingerprints::new(content, caller),
         method: parts.method,
-        path: path.map_or_else(|| "/".to_owned(), ToString::to_string),
+        path,
         headers: forwarded_headers(&parts.headers),
         body,
         arrived,
--- a/crates/cowslipcross/src/serve/server.rs
+++ b/crates/cowslipcross/src/serve/server.rs
@@ -20,6 +20,7 @@
         cell::{Cell, RefCell},
         convert::Infallible,
         future::poll_fn,
+        net::IpAddr,
         pin::pin,
         rc::Rc,
         task::Poll,
@@ -107,9 +108,10 @@
     let mut close_receiver = open_connections.0.close_signal.borrow().subscribe();
     let config = context.config.borrow().clone();
     let limits = config.map(|it| it.limits.clone()).unwrap_or_default();
+    let caller = stream.peer_addr().ok().map(|it| it.ip());
     let service = service_fn(|request| {
         let context = context.clone();
-        async move { Ok::<_, Infallible>(handle_request(context, request).await) }
+        async move { Ok::<_, Infallible>(handle_request(context, request, caller).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -141,12 +143,13 @@
 async fn handle_request(
     context: Rc<Context>,
     request: http::Request<Incoming>,
+    caller: Option<IpAddr>,
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
     let _active = CounterGuard::new(&context.active_requests);
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&headers::REQUEST_ID).cloned();
-    let mut response = match request::read_request(&context, parts, body, arrived).await {
+    let mut response = match request::read_request(&context, parts, body, (arrived, caller)).await {
         Ok(request) => forward(&context, Rc::new(request)).await,
         Err(bad) => reject(&context, &bad, id),
     };
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -30,6 +30,8 @@
 
 /// Longest time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time within which a target that runs accepts a connection. The request that was lost waits for it.
+const ALIVE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time without acknowledgement of sent data after which TCP closes the connection, as the target
 /// does not answer any more.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -183,6 +185,18 @@
         }
     }
 
+    /// Returns whether the target accepts connections, after it has closed one without a response.
+    pub async fn is_alive(&self, max_connections: u32) -> bool {
+        match timeout(ALIVE_TIMEOUT, self.open(max_connections)).await {
+            Ok(Ok(connection)) => {
+                self.return_idle(connection, None);
+                true
+            }
+            Ok(Err(ConnectError::LimitReached)) => true,
+            Ok(Err(ConnectError::Failed)) | Err(_) => false,
+        }
+    }
+
     /// Keeps a connection for reuse; `keep_alive` is the idle timeout that the target sent.
     pub fn return_idle(&self, mut connection: Connection, keep_alive: Option<Duration>) {
         if let Some(keep_alive) = keep_alive {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! thread or reads a clock, so tests can run the state machines at any speed.
 
 pub mod attempts;
+pub mod crashes;
 pub mod election;
 pub mod limits;
 pub mod names;
