test(instance): a request that crashes targets is not sent to further ones by any instance (fails)

Three instances, eight targets that end when they run one path and come back under new ids; one caller sends that request to all instances in turn.

--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests of instances that run as processes on loopback.
 
+mod crashing_requests;
 mod deployment;
 mod faulty_targets;
 mod limited_targets;
