fix(serve): requests that crash targets are refused by all instances

Cause: what an instance learns from a target that ends under a request ended with that attempt. Each attempt of the caller, at any instance, started with a clean sheet and crashed as many targets as its route has attempts. The same class as the limits of targets: known to one, of concern to all.

Change: instances report to the leader under which content targets end; after two, the content is blocked by all, unless an instance has served it within 10 s, since requests may be in progress by chance when targets end. Heartbeats repeat the blocks, so that restarted instances and later leaders know them. Refused with 503, as nothing was sent. The attempt itself is in a file of its own now, as are the events about it.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -8,8 +8,9 @@
         metrics::Metrics,
         peers::{datagram::PeerSocket, membership::Membership},
         serve::{
-            blocked_keys::BlockedKeys, permits::Permits, quiet_targets::QuietTargets,
-            response_memory::ResponseMemory, routes::Routes, target_connections::TargetConnections,
+            blocked_keys::BlockedKeys, crashing_requests::CrashingRequests, permits::Permits,
+            quiet_targets::QuietTargets, response_memory::ResponseMemory, routes::Routes,
+            target_connections::TargetConnections,
         },
         views::{
             target_notices::TargetNotices, target_snapshot::TargetSnapshot,
@@ -149,6 +150,8 @@
     pub target_notices: RefCell<TargetNotices>,
     /// Targets that want no requests from this instance for some time.
     pub quiet_targets: RefCell<QuietTargets>,
+    /// Requests that crash the targets that run them.
+    pub crashing_requests: RefCell<CrashingRequests>,
     /// Memory for the bodies of targets' responses.
     pub response_memory: ResponseMemory,
     /// Connections to targets, with their load.
@@ -244,6 +247,7 @@
             blocked_keys: RefCell::default(),
             target_notices: RefCell::default(),
             quiet_targets: RefCell::default(),
+            crashing_requests: RefCell::default(),
             response_memory: ResponseMemory::default(),
             connections: RefCell::default(),
             retry_windows: RefCell::default(),
--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -112,6 +112,11 @@
     511 TARGET_ENDED Warn FREQUENT_RATE; "target {target} ended while it ran request {request}: {detail}";
         "The target closed the connection without a response and accepts no other one.";
         "Compare the content of the requests under which targets end; if it is the same, look for its caller.";
+    512 REQUEST_BLOCKED Warn FREQUENT_RATE; "requests that crash targets are refused: {detail}";
+        "Several targets have ended while they ran requests with this content, and none has served one lately.";
+        "Find the request and its caller by the content in `CC0511`, and correct the targets.";
+    513 BLOCK_LIFTED Info FREQUENT_RATE; "requests are no longer refused: {detail}";
+        "A target has served a request with this content, so that it is not what makes targets end."; "Nothing.";
     601 SETTINGS_RELOADED Info None; "settings reloaded: {detail}";
         "The process uses the section `bounds` of the settings file as it is now; other changes need a restart."; "Nothing.";
     602 SETTINGS_RELOAD_FAILED Error None; "settings not reloaded: {detail}";
--- a/crates/cowslipcross/src/lead/leader_loop.rs
+++ b/crates/cowslipcross/src/lead/leader_loop.rs
@@ -184,6 +184,8 @@
     config: StoreVersion,
     targets: StoreVersion,
     owners: Vec<StoreVersion>,
+    /// Revision of the requests that are blocked.
+    blocks: u64,
 }
 
 impl AnnouncedVersions {
@@ -193,6 +195,7 @@
             config: context.operator_version.get(),
             targets: context.targets.borrow().changed_version(),
             owners: all_recorded.values().map(|it| it.version).collect(),
+            blocks: context.crashing_requests.borrow().revision(),
         }
     }
 }
--- a/crates/cowslipcross/src/peers/datagram.rs
+++ b/crates/cowslipcross/src/peers/datagram.rs
@@ -9,7 +9,7 @@
             heartbeat_protocol,
             message::Message,
         },
-        serve::permits,
+        serve::{crashing_requests, permits},
     },
     std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -74,6 +74,8 @@
         Message::LeadershipOffer => context.refresh_requested.notify_one(),
         Message::Report(report) => heartbeat_protocol::handle_report(context, report, from),
         Message::TargetNotices(all) => heartbeat_protocol::handle_notices(context, all),
+        Message::Crashes(crashes) => crashing_requests::handle_crashes(context, crashes),
+        Message::BlocksLifted(requests) => crashing_requests::handle_lifted(context, requests),
         permit_message => permits::handle_message(context, permit_message, from),
     }
 }
--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -11,7 +11,7 @@
             membership::{self, Member, Membership},
             message::{InstanceReport, LeaderHeartbeat, Message, WireNotice},
         },
-        serve::permits,
+        serve::{crashing_requests, permits},
         views::{
             store_era,
             target_notices::{self, NoticeSource},
@@ -67,6 +67,8 @@
     }
     targets::handle_update(context, heartbeat.target_update);
     handle_notices(context, heartbeat.notices);
+    crashing_requests::handle_lifted(context, heartbeat.lifted);
+    crashing_requests::handle_blocks(context, heartbeat.blocks);
 }
 
 /// Records what targets have said of themselves in responses to other instances.
@@ -107,6 +109,8 @@
     context.update_reported_version(report.config_version);
     let is_current = report.membership_hash == context.membership.borrow().hash();
     handle_notices(context, report.notices.clone());
+    crashing_requests::handle_lifted(context, report.lifted.clone());
+    crashing_requests::handle_crashes(context, report.crashes.clone());
     peer_reports::apply_report(context, from, report);
     if context.is_leader() && !is_current {
         let text = context.membership.borrow().to_text();
@@ -119,6 +123,8 @@
     let weight = membership::cpu_weight(context.settings.cpu);
     loop {
         sleep(REPORT_INTERVAL).await;
+        let now = Instant::now();
+        let (crashes, lifted) = context.crashing_requests.borrow_mut().for_report(now);
         // Key counts are reset even if there is no leader to report to, as old counts say little.
         let report = InstanceReport {
             timestamp: context.events.next_timestamp().into(),
@@ -129,6 +135,8 @@
             key_counts: take_key_counts(&context),
             service_times: permits::service_times(&context),
             notices: own_notices(&context),
+            crashes,
+            lifted,
         };
         match context.leader_address.get() {
             // The leader handles its own report without sending it.
@@ -152,6 +160,8 @@
         _ => count,
     };
     context.instance_count.set(count);
+    let now = Instant::now();
+    let (blocks, lifted) = context.crashing_requests.borrow_mut().for_heartbeat(now);
     let message = Message::Heartbeat(LeaderHeartbeat {
         timestamp: context.events.next_timestamp().into(),
         leader_version: context.election.borrow().row_version(),
@@ -161,6 +171,8 @@
         config_version: context.operator_version.get(),
         target_update: target_updates::next_message(context),
         notices: notices_in_force(context),
+        blocks,
+        lifted,
     });
     let own = context.settings.listen.heartbeats;
     let others = membership.members().iter().map(|it| it.address);
--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -4,14 +4,18 @@
 //! them short, as every request asks for a permit.
 
 use {
-    crate::views::{target_notices::TargetNotice, target_updates::TargetUpdateMessage},
+    crate::{
+        serve::{crashing_requests::Crash, fingerprints::Fingerprints},
+        views::{target_notices::TargetNotice, target_updates::TargetUpdateMessage},
+    },
     cowslip_decide::{
+        crashes::Fingerprint,
         limits::RateLimit,
         names::{Fence, Name, StoreVersion},
         owners::{Assignment, TargetIncarnation},
     },
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// A message from one instance to another.
@@ -31,6 +35,10 @@
     Report(InstanceReport),
     /// From an instance to the leader: what targets have said of themselves in responses.
     TargetNotices(Vec<WireNotice>),
+    /// From an instance to the leader: targets have ended while they ran its requests.
+    Crashes(Vec<WireCrash>),
+    /// From an instance to the leader: it has served such requests as were blocked.
+    BlocksLifted(Vec<Fingerprint>),
     /// Asks a pool's coordinator for a permit to send a request to a target.
     PermitRequest {
         /// Number of the permit request, unique at its sender.
@@ -103,6 +111,10 @@
     pub target_update: TargetUpdateMessage,
     /// What targets say of themselves in their responses.
     pub notices: Vec<WireNotice>,
+    /// Requests that are blocked because they crash targets.
+    pub blocks: Vec<WireBlock>,
+    /// Requests whose block was lifted lately.
+    pub lifted: Vec<Fingerprint>,
 }
 
 /// Load and state of an instance, sent to the leader.
@@ -124,6 +136,10 @@
     pub service_times: BTreeMap<Name, u32>,
     /// What targets have lately said of themselves in responses to the instance.
     pub notices: Vec<WireNotice>,
+    /// Targets that have lately ended under requests of the instance.
+    pub crashes: Vec<WireCrash>,
+    /// Requests whose block the instance has lately seen to be lifted.
+    pub lifted: Vec<Fingerprint>,
 }
 
 /// Id and incarnation of a target, whether it is about to stop, its limit in thousandths of a request
@@ -131,6 +147,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireNotice(pub Name, pub u64, pub bool, pub Option<u64>, pub u64);
 
+/// Fingerprints of a request's content and of it with its caller, id and incarnation of the target that
+/// ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireCrash(Fingerprint, Fingerprint, Name, u64);
+
+/// Fingerprint of a blocked request, and milliseconds for which it stays blocked.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireBlock(Fingerprint, u64);
+
 /// Version of a service's recorded assignments, with a recent change or with all of them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct AssignmentUpdate {
@@ -173,6 +198,37 @@
     }
 }
 
+impl From<&Crash> for WireCrash {
+    fn from(crash: &Crash) -> Self {
+        let Fingerprints { content, caller } = crash.request;
+        let target = &crash.target;
+        Self(content, caller, target.id.clone(), target.incarnation)
+    }
+}
+
+impl From<WireCrash> for Crash {
+    fn from(wire: WireCrash) -> Self {
+        let WireCrash(content, caller, id, incarnation) = wire;
+        Self {
+            request: Fingerprints { content, caller },
+            target: TargetIncarnation { id, incarnation },
+        }
+    }
+}
+
+impl From<(Fingerprint, Duration)> for WireBlock {
+    fn from((request, time): (Fingerprint, Duration)) -> Self {
+        Self(request, time.as_millis() as u64)
+    }
+}
+
+impl From<WireBlock> for (Fingerprint, Duration) {
+    fn from(wire: WireBlock) -> Self {
+        let WireBlock(request, time_ms) = wire;
+        (request, Duration::from_millis(time_ms))
+    }
+}
+
 impl From<&Assignment> for WireAssignment {
     fn from(assignment: &Assignment) -> Self {
         let owner = assignment
--- a/crates/cowslipcross/src/serve.rs
+++ b/crates/cowslipcross/src/serve.rs
@@ -1,14 +1,17 @@
 //! Receives callers' requests, forwards them to targets and returns the responses.
 
+mod attempt;
 pub mod blocked_keys;
 pub mod caller_response;
 pub mod counter_guard;
+pub mod crashing_requests;
 pub mod exchange;
 pub mod fingerprints;
 pub mod forward;
 pub mod permits;
 pub mod quiet_targets;
 pub mod request;
+mod request_events;
 pub mod response_memory;
 pub mod routes;
 pub mod server;
--- /dev/null
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -0,0 +1,160 @@
+//! One attempt to send a request to a target, and what its end tells of the target.
+
+use {
+    crate::{
+        context::Context,
+        events::{self, EventFields},
+        serve::{
+            crashing_requests,
+            exchange::{self, ExchangeOutcome},
+            permits::Permit,
+            request::CallerRequest,
+            request_events,
+            target_connections::{ConnectError, LimitStatement, TargetConnections},
+        },
+        views::target_notices::{self, NoticeSource, TargetNotice},
+    },
+    cowslip_decide::{names::Name, owners::TargetIncarnation, permits::PermitOutcome},
+    std::{rc::Rc, time::Duration},
+    tokio::{task::spawn_local, time::Instant},
+};
+
+/// Sends a request to a target once and reports the outcome with the permit.
+///
+/// A request that is not idempotent is continued in a task of its own if its caller disconnects.
+pub async fn run_attempt(
+    context: &Rc<Context>,
+    request: &Rc<CallerRequest>,
+    connections: Rc<TargetConnections>,
+    target: &Name,
+    permit: Option<Permit>,
+) -> ExchangeOutcome {
+    let max_connections = connection_limit(context, request);
+    let (context, target) = (context.clone(), target.clone());
+    let request = request.clone();
+    let is_idempotent = request.route.idempotent;
+    let incarnation = TargetIncarnation {
+        id: target.clone(),
+        incarnation: connections.incarnation,
+    };
+    let known_limit = context.target_notices.borrow().rate_limit(&incarnation);
+    if known_limit.is_some() {
+        context.metrics.count_limited_send(permit.is_some());
+    }
+    let attempt = async move {
+        let exchange_outcome = exchange::send_request(
+            &context.response_memory,
+            connections.clone(),
+            target.clone(),
+            request.clone(),
+            max_connections,
+        )
+        .await;
+        if exchange_outcome.is_closed() && !connections.is_alive(max_connections).await {
+            record_target_end(&context, &request, &incarnation);
+        }
+        if matches!(exchange_outcome, ExchangeOutcome::Completed(_)) {
+            crashing_requests::record_served(&context, &request);
+        }
+        let quiet_time = apply_quiet_period(&context, &request.service, &connections, &incarnation);
+        let notice = read_notice(&context, &connections, &incarnation);
+        if let Some(notice) = &notice {
+            target_notices::record(&context, notice.clone(), NoticeSource::OwnRequest);
+        }
+        if let Some(permit) = permit {
+            permit.outcome.set(permit_outcome(&exchange_outcome));
+            permit.slowdown.set(connections.slowdown());
+            permit.quiet_time.set(quiet_time);
+            permit.notice.replace(notice);
+        }
+        exchange_outcome
+    };
+    if is_idempotent {
+        return attempt.await;
+    }
+    let joined = spawn_local(attempt).await;
+    joined.unwrap_or(ExchangeOutcome::Broken("task of the attempt failed"))
+}
+
+/// Records that a target has ended while it ran a request.
+fn record_target_end(context: &Context, request: &CallerRequest, target: &TargetIncarnation) {
+    context.metrics.count_target_end(&request.service);
+    let cause = "crashed or killed";
+    request_events::record(context, events::TARGET_ENDED, request, &target.id, cause);
+    crashing_requests::record_crash(context, request, target.clone());
+}
+
+/// Returns what a target has said of itself in its responses; `None` if nothing is to be told of it.
+fn read_notice(
+    context: &Context,
+    connections: &TargetConnections,
+    target: &TargetIncarnation,
+) -> Option<TargetNotice> {
+    let leaving = connections.is_leaving.get();
+    let known_limit = context.target_notices.borrow().rate_limit(target);
+    let (rate_limit, is_news) = match connections.limit_statement.take() {
+        Some(LimitStatement::Limited(limit)) => (Some(limit), true),
+        Some(LimitStatement::Unlimited) => (None, known_limit.is_some()),
+        None => (known_limit, false),
+    };
+    (leaving || is_news).then(|| TargetNotice {
+        target: target.clone(),
+        leaving,
+        rate_limit,
+        observed_at: context.events.next_timestamp(),
+    })
+}
+
+/// Applies the quiet period that a target has asked for; returns the rest of the time for which it
+/// wants no requests from this instance.
+fn apply_quiet_period(
+    context: &Context,
+    service: &Name,
+    connections: &TargetConnections,
+    target: &TargetIncarnation,
+) -> Option<Duration> {
+    let now = Instant::now();
+    let end = connections.quiet_until.get().filter(|end| *end > now)?;
+    let mut quiet_targets = context.quiet_targets.borrow_mut();
+    if quiet_targets.record(service, target, end, now) {
+        drop(quiet_targets);
+        record_quiet_period(context, target, end - now);
+        // Requests that wait for a permit for this target are refused.
+        context.routing_changed.notify_waiters();
+    }
+    Some(end - now)
+}
+
+fn record_quiet_period(context: &Context, target: &TargetIncarnation, period: Duration) {
+    let fields = EventFields {
+        target: Some(target.id.clone()),
+        detail: Some(format!("for {} ms", period.as_millis())),
+        ..EventFields::default()
+    };
+    context.events.record(events::TARGET_QUIET, fields);
+}
+
+/// Returns the outcome to report to the coordinator of the pool.
+fn permit_outcome(outcome: &ExchangeOutcome) -> PermitOutcome {
+    match outcome {
+        ExchangeOutcome::Completed(response) if response.status.is_server_error() => {
+            PermitOutcome::ServerError
+        }
+        ExchangeOutcome::Completed(_) => PermitOutcome::Served,
+        ExchangeOutcome::NotExecuted(metadata) if metadata.misdirected => PermitOutcome::Unused,
+        ExchangeOutcome::NotExecuted(_) => PermitOutcome::Shed,
+        ExchangeOutcome::Unsent(ConnectError::LimitReached) => PermitOutcome::Unused,
+        ExchangeOutcome::Unsent(ConnectError::Failed) => PermitOutcome::NotConnected,
+        ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => PermitOutcome::Broken,
+    }
+}
+
+/// Returns this instance's share of the service's connection limit per target, at least 2.
+fn connection_limit(context: &Context, request: &CallerRequest) -> u32 {
+    let config = context.config.borrow();
+    let service = config
+        .as_ref()
+        .and_then(|it| it.services.get(&request.service));
+    let limit = service.map_or(1, |it| it.max_connections.min(10_000) as u32);
+    (limit / context.instance_count.get().max(1)).max(2)
+}
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -3,29 +3,26 @@
 use {
     crate::{
         context::Context,
-        events::{self, EventCode, EventFields},
+        events,
         serve::{
+            attempt,
             caller_response::{Refusal, RequestOutcome},
-            exchange::{self, ExchangeOutcome},
+            crashing_requests,
+            exchange::ExchangeOutcome,
             permits::{self, Permit, PermitResult},
             request::CallerRequest,
-            target_connections::{ConnectError, LimitStatement, TargetConnections},
+            request_events,
+            target_connections::{ConnectError, TargetConnections},
             target_selection::{self, Selection, select_target},
         },
-        views::target_notices::{self, NoticeSource, TargetNotice},
     },
     cowslip_decide::{
         attempts::{AttemptHistory, AttemptOutcome, FinalError, NextAction, RetryPolicy},
         names::Name,
-        owners::TargetIncarnation,
-        permits::PermitOutcome,
         verdict::Reason,
     },
     std::{rc::Rc, time::Duration},
-    tokio::{
-        task::spawn_local,
-        time::{Instant, sleep, timeout_at},
-    },
+    tokio::time::{Instant, sleep, timeout_at},
 };
 
 /// Time after which a refused caller should retry if no better estimate is known.
@@ -49,6 +46,9 @@
         if Instant::now() >= request.deadline {
             return error_outcome(history.final_error(Reason::Deadline));
         }
+        if let Some(wait) = crashing_requests::remaining_block(&context, &request) {
+            return blocked_outcome(&history, wait);
+        }
         let step = match select_target(&context, &request) {
             Selection::Refuse(wait) => return overload_outcome(&history, wait),
             Selection::Wait(poll_interval) => Step::SelectOnChange(poll_interval),
@@ -99,8 +99,7 @@
     {
         return Step::Finish(overload_outcome(history, wait));
     }
-    let outcome = run_attempt(context, request, connections, target, permit).await;
-    finish_attempt(context, request, history, target, outcome)
+    send_unless_blocked(context, request, history, (connections, target), permit).await
 }
 
 /// Sends a request to a target of an unsharded service, without a permit if no coordinator answers.
@@ -133,8 +132,23 @@
                 }
             }
         };
-    let outcome = run_attempt(context, request, connections, &target, permit).await;
-    finish_attempt(context, request, history, &target, outcome)
+    send_unless_blocked(context, request, history, (connections, &target), permit).await
+}
+
+/// Sends a request to a target, unless targets have ended under such requests while this one waited
+/// for the permit.
+async fn send_unless_blocked(
+    context: &Rc<Context>,
+    request: &Rc<CallerRequest>,
+    history: &mut AttemptHistory,
+    (connections, target): (Rc<TargetConnections>, &Name),
+    permit: Option<Permit>,
+) -> Step {
+    if crashing_requests::remaining_block(context, request).is_some() {
+        return Step::SelectAfter(Duration::ZERO);
+    }
+    let outcome = attempt::run_attempt(context, request, connections, target, permit).await;
+    finish_attempt(context, request, history, target, outcome)
 }
 
 /// Waits until the routing data change, at most `poll_interval`; returns the outcome if the request
@@ -155,147 +169,6 @@
     None
 }
 
-/// Sends a request to a target once and reports the outcome with the permit.
-///
-/// A request that is not idempotent is continued in a task of its own if its caller disconnects.
-async fn run_attempt(
-    context: &Rc<Context>,
-    request: &Rc<CallerRequest>,
-    connections: Rc<TargetConnections>,
-    target: &Name,
-    permit: Option<Permit>,
-) -> ExchangeOutcome {
-    let max_connections = connection_limit(context, request);
-    let (context, target) = (context.clone(), target.clone());
-    let request = request.clone();
-    let is_idempotent = request.route.idempotent;
-    let incarnation = TargetIncarnation {
-        id: target.clone(),
-        incarnation: connections.incarnation,
-    };
-    let known_limit = context.target_notices.borrow().rate_limit(&incarnation);
-    if known_limit.is_some() {
-        context.metrics.count_limited_send(permit.is_some());
-    }
-    let attempt = async move {
-        let exchange_outcome = exchange::send_request(
-            &context.response_memory,
-            connections.clone(),
-            target.clone(),
-            request.clone(),
-            max_connections,
-        )
-        .await;
-        if exchange_outcome.is_closed() && !connections.is_alive(max_connections).await {
-            record_target_end(&context, &request, &target);
-        }
-        let quiet_time = apply_quiet_period(&context, &request.service, &connections, &incarnation);
-        let notice = read_notice(&context, &connections, &incarnation);
-        if let Some(notice) = &notice {
-            target_notices::record(&context, notice.clone(), NoticeSource::OwnRequest);
-        }
-        if let Some(permit) = permit {
-            permit.outcome.set(permit_outcome(&exchange_outcome));
-            permit.slowdown.set(connections.slowdown());
-            permit.quiet_time.set(quiet_time);
-            permit.notice.replace(notice);
-        }
-        exchange_outcome
-    };
-    if is_idempotent {
-        return attempt.await;
-    }
-    let joined = spawn_local(attempt).await;
-    joined.unwrap_or(ExchangeOutcome::Broken("task of the attempt failed"))
-}
-
-/// Records that a target has ended while it ran a request.
-fn record_target_end(context: &Context, request: &CallerRequest, target: &Name) {
-    context.metrics.count_target_end(&request.service);
-    record_event(
-        context,
-        events::TARGET_ENDED,
-        request,
-        target,
-        "crashed or killed",
-    );
-}
-
-/// Returns what a target has said of itself in its responses; `None` if nothing is to be told of it.
-fn read_notice(
-    context: &Context,
-    connections: &TargetConnections,
-    target: &TargetIncarnation,
-) -> Option<TargetNotice> {
-    let leaving = connections.is_leaving.get();
-    let known_limit = context.target_notices.borrow().rate_limit(target);
-    let (rate_limit, is_news) = match connections.limit_statement.take() {
-        Some(LimitStatement::Limited(limit)) => (Some(limit), true),
-        Some(LimitStatement::Unlimited) => (None, known_limit.is_some()),
-        None => (known_limit, false),
-    };
-    (leaving || is_news).then(|| TargetNotice {
-        target: target.clone(),
-        leaving,
-        rate_limit,
-        observed_at: context.events.next_timestamp(),
-    })
-}
-
-/// Applies the quiet period that a target has asked for; returns the rest of the time for which it
-/// wants no requests from this instance.
-fn apply_quiet_period(
-    context: &Context,
-    service: &Name,
-    connections: &TargetConnections,
-    target: &TargetIncarnation,
-) -> Option<Duration> {
-    let now = Instant::now();
-    let end = connections.quiet_until.get().filter(|end| *end > now)?;
-    let mut quiet_targets = context.quiet_targets.borrow_mut();
-    if quiet_targets.record(service, target, end, now) {
-        drop(quiet_targets);
-        record_quiet_period(context, target, end - now);
-        // Requests that wait for a permit for this target are refused.
-        context.routing_changed.notify_waiters();
-    }
-    Some(end - now)
-}
-
-fn record_quiet_period(context: &Context, target: &TargetIncarnation, period: Duration) {
-    let fields = EventFields {
-        target: Some(target.id.clone()),
-        detail: Some(format!("for {} ms", period.as_millis())),
-        ..EventFields::default()
-    };
-    context.events.record(events::TARGET_QUIET, fields);
-}
-
-/// Returns the outcome to report to the coordinator of the pool.
-fn permit_outcome(outcome: &ExchangeOutcome) -> PermitOutcome {
-    match outcome {
-        ExchangeOutcome::Completed(response) if response.status.is_server_error() => {
-            PermitOutcome::ServerError
-        }
-        ExchangeOutcome::Completed(_) => PermitOutcome::Served,
-        ExchangeOutcome::NotExecuted(metadata) if metadata.misdirected => PermitOutcome::Unused,
-        ExchangeOutcome::NotExecuted(_) => PermitOutcome::Shed,
-        ExchangeOutcome::Unsent(ConnectError::LimitReached) => PermitOutcome::Unused,
-        ExchangeOutcome::Unsent(ConnectError::Failed) => PermitOutcome::NotConnected,
-        ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => PermitOutcome::Broken,
-    }
-}
-
-/// Returns this instance's share of the service's connection limit per target, at least 2.
-fn connection_limit(context: &Context, request: &CallerRequest) -> u32 {
-    let config = context.config.borrow();
-    let service = config
-        .as_ref()
-        .and_then(|it| it.services.get(&request.service));
-    let limit = service.map_or(1, |it| it.max_connections.min(10_000) as u32);
-    (limit / context.instance_count.get().max(1)).max(2)
-}
-
 /// Records how an attempt ended and returns what to do next.
 fn finish_attempt(
     context: &Context,
@@ -333,7 +206,7 @@
                 attempt,
                 AttemptOutcome::ServerError | AttemptOutcome::Broken
             ) {
-                record_event(context, events::RETRY, request, target, "idempotent");
+                request_events::record(context, events::RETRY, request, target, "idempotent");
             }
             Step::SelectAfter(delay)
         }
@@ -372,7 +245,7 @@
         (AttemptOutcome::DeadlinePassed, _) => (events::MAY_HAVE_RUN, "deadline passed"),
         _ => return,
     };
-    record_event(context, code, request, target, cause);
+    request_events::record(context, code, request, target, cause);
 }
 
 /// Blocks the assignment of the request's key: its owner refused the request.
@@ -405,6 +278,14 @@
     }
 }
 
+/// Returns the outcome of a request that must not be sent because it crashes targets.
+fn blocked_outcome(history: &AttemptHistory, wait: Duration) -> RequestOutcome {
+    match history.blocked_error() {
+        FinalError::Refused(reason) => RequestOutcome::Refused(Refusal { reason, wait }),
+        other => error_outcome(other),
+    }
+}
+
 /// Converts the error of a request that got no response of a target.
 fn error_outcome(error: FinalError) -> RequestOutcome {
     match error {
@@ -417,33 +298,6 @@
     }
 }
 
-fn record_event(
-    context: &Context,
-    code: EventCode,
-    request: &CallerRequest,
-    target: &Name,
-    cause: &str,
-) {
-    let detail = format!(
-        "{cause}, content {}, service {}, {}, {} ms left",
-        request.fingerprints.content,
-        request.service,
-        context.describe_views(&request.service),
-        request
-            .deadline
-            .saturating_duration_since(Instant::now())
-            .as_millis()
-    );
-    let fields = EventFields {
-        request: request.id.to_str().ok().map(Name::from),
-        key: request.key.map(|key| key.to_string().into()),
-        target: Some(target.clone()),
-        detail: Some(detail),
-        ..EventFields::default()
-    };
-    context.events.record(code, fields);
-}
-
 impl ConnectError {
     /// Returns the cause for the log.
     fn message(self) -> &'static str {
--- a/crates/decide/src/attempts.rs
+++ b/crates/decide/src/attempts.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns the error for a request that must not be sent again because it crashes targets.
+    pub fn blocked_error(&self) -> FinalError {
+        self.not_run_error(Reason::CrashesTargets)
+    }
+
     /// Excludes a target from further attempts without counting an attempt.
     pub fn exclude_target(&mut self, target: Name) {
         self.excluded.push(target);
--- a/crates/decide/src/verdict.rs
+++ b/crates/decide/src/verdict.rs
@@ -45,6 +45,8 @@
     Shed,
     /// The connection broke or stopped responding before a complete response came.
     Broken,
+    /// Targets have ended under such requests.
+    CrashesTargets,
 }
 
 impl Reason {
@@ -56,6 +58,7 @@
             Self::NoOwner => "no-owner",
             Self::Shed => "shed",
             Self::Broken => "broken",
+            Self::CrashesTargets => "crashes-targets",
         }
     }
 }
--- /dev/null
+++ b/crates/decide/tests/crashes.rs
@@ -0,0 +1,104 @@
+//! Requests under which targets end: blocked after two, unless such requests are served.
+
+use {
+    cowslip_decide::{
+        crashes::{BlockChange, CrashLog, Fingerprint},
+        owners::TargetIncarnation,
+    },
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+const REQUEST: Fingerprint = Fingerprint(7);
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn target(id: &str, incarnation: u64) -> TargetIncarnation {
+    TargetIncarnation {
+        id: id.into(),
+        incarnation,
+    }
+}
+
+#[test]
+fn a_request_is_blocked_once_two_targets_have_ended_under_it() {
+    let now = Instant::now();
+    let mut log = CrashLog::default();
+    assert_eq!(
+        log.record_crash(REQUEST, target("a", 1), now),
+        BlockChange::None
+    );
+    // The same end, as another instance reports it.
+    assert_eq!(
+        log.record_crash(REQUEST, target("a", 1), now),
+        BlockChange::None
+    );
+    assert_eq!(log.remaining_block(REQUEST, now), None);
+    let later = now + seconds(60);
+    assert_eq!(
+        log.record_crash(REQUEST, target("a", 2), later),
+        BlockChange::Blocked
+    );
+    assert!(log.remaining_block(REQUEST, later).is_some());
+    assert_eq!(log.remaining_block(Fingerprint(8), later), None);
+    assert_eq!(log.blocked(later).count(), 1);
+    assert_eq!(log.remaining_block(REQUEST, later + seconds(601)), None);
+}
+
+#[test]
+fn a_request_that_is_served_elsewhere_is_not_blocked() {
+    let now = Instant::now();
+    let mut log = CrashLog::default();
+    log.record_crash(REQUEST, target("a", 1), now);
+    assert!(log.record_served(REQUEST, now));
+    // The first end counts no more.
+    assert_eq!(
+        log.record_crash(REQUEST, target("b", 1), now),
+        BlockChange::None
+    );
+    log.record_served(REQUEST, now);
+    // Another instance has counted two.
+    assert_eq!(
+        log.block(REQUEST, seconds(600), now + seconds(1)),
+        BlockChange::Refuted
+    );
+    assert_eq!(log.remaining_block(REQUEST, now + seconds(1)), None);
+    // Long ago, such a request was served, but it may do harm now.
+    assert_eq!(
+        log.block(REQUEST, seconds(600), now + seconds(20)),
+        BlockChange::Blocked
+    );
+    // Blocks end when one is served after all.
+    assert!(log.record_served(REQUEST, now + seconds(21)));
+    assert_eq!(log.remaining_block(REQUEST, now + seconds(21)), None);
+}
+
+#[test]
+fn a_block_that_is_told_again_is_no_news_and_does_not_end_sooner() {
+    let now = Instant::now();
+    let mut log = CrashLog::default();
+    assert_eq!(log.block(REQUEST, seconds(100), now), BlockChange::Blocked);
+    assert_eq!(log.block(REQUEST, seconds(50), now), BlockChange::None);
+    assert_eq!(log.remaining_block(REQUEST, now), Some(seconds(100)));
+}
+
+#[test]
+fn what_is_remembered_is_bounded_and_blocks_go_last() {
+    let now = Instant::now();
+    let mut log = CrashLog::default();
+    log.block(REQUEST, seconds(600), now);
+    for number in 100..20_000 {
+        let later = now + Duration::from_millis(number);
+        log.record_crash(Fingerprint(number), target("a", number), later);
+        log.record_served(Fingerprint(30_000 + number), later);
+    }
+    let later = now + seconds(21);
+    assert!(log.remaining_block(REQUEST, later).is_some());
+    // Of two targets, the first was long forgotten.
+    let second = log.record_crash(Fingerprint(100), target("b", 1), later);
+    assert_eq!(second, BlockChange::None);
+    let known = log.record_crash(Fingerprint(19_999), target("b", 1), later);
+    assert_eq!(known, BlockChange::Blocked);
+}
