fix(views): an instance that hears of a newer configuration retries the store sooner

A call that was sent right before the store could be reached again, or one on a connection that died in the cut, takes another 0.5 s each, so that the sum exceeds the 3 s that are allowed.

Change: while it knows that it is stale, an instance waits at most 0.6 s between its calls.

--- a/crates/cowslipcross/src/views/store_health.rs
+++ b/crates/cowslipcross/src/views/store_health.rs
@@ -4,7 +4,10 @@
     crate::{context::Context, events},
     cowslip_adapter::Error,
     std::{ops::RangeInclusive, time::Duration},
-    tokio::time::{Instant, timeout},
+    tokio::{
+        select,
+        time::{Instant, sleep_until},
+    },
 };
 
 /// Delay after a failed call; multiplied by the number of failures in a row.
@@ -44,18 +47,29 @@
         }
     }
 
-    /// Waits for the retry delay, or until the store answers another task.
+    /// Waits for the retry delay, or until the store answers another task. The delay is shorter once
+    /// another instance has reported a configuration that this one has not read.
     pub async fn wait_to_retry(&self, context: &Context) {
+        let start = Instant::now();
         // Instances whose calls failed together must not retry together.
-        let delay = retry_delay(self.failures).mul_f64(rand::random_range(JITTER_FACTOR));
-        // The task retries in either case.
-        let _ = timeout(delay, context.store_recovered.notified()).await;
+        let jitter = rand::random_range(JITTER_FACTOR);
+        loop {
+            let delay = retry_delay(self.failures, context.is_config_stale()).mul_f64(jitter);
+            select! {
+                () = sleep_until(start + delay) => return,
+                () = context.store_recovered.notified() => return,
+                () = context.config_stale.notified() => {}
+            }
+        }
     }
 }
 
-/// Returns the longest delay after so many failures in a row.
-fn retry_delay(failures: u32) -> Duration {
-    (CALL_RETRY_DELAY * failures.max(1)).min(MAX_RETRY_DELAY)
+/// Returns the longest delay after so many failures in a row, and if this instance `is_stale`.
+fn retry_delay(failures: u32, is_stale: bool) -> Duration {
+    match is_stale {
+        true => CALL_RETRY_DELAY,
+        false => (CALL_RETRY_DELAY * failures.max(1)).min(MAX_RETRY_DELAY),
+    }
 }
 
 #[cfg(test)]
