--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -8,9 +8,9 @@
         metrics::Metrics,
         peers::{datagram::PeerSocket, membership::Membership},
         serve::{
-            blocked_keys::BlockedKeys, crashing_requests::CrashingRequests, permits::Permits,
-            quiet_targets::QuietTargets, response_memory::ResponseMemory, routes::Routes,
-            target_connections::TargetConnections,
+            blocked_keys::BlockedKeys, coordinator::Coordinator,
+            crashing_requests::CrashingRequests, permits::Permits, quiet_targets::QuietTargets,
+            response_memory::ResponseMemory, routes::Routes, target_connections::TargetConnections,
         },
         views::{
             target_notices::TargetNotices, target_snapshot::TargetSnapshot,
@@ -182,8 +182,10 @@
     pub instance_count: Cell<u32>,
     /// Instances known to the leader, with addresses and weights.
     pub membership: RefCell<Membership>,
-    /// Permits granted to other instances and requested from them.
+    /// Permits requested from the coordinators of pools.
     pub permits: Permits,
+    /// Pools that this instance coordinates.
+    pub coordinator: Coordinator,
     /// When this instance began to act as leader; `None` if it does not.
     pub leader_since: Cell<Option<Instant>>,
     /// Requests by service and key since the last report to the leader.
@@ -262,6 +264,7 @@
             instance_count: Cell::new(ASSUMED_INSTANCES),
             membership: RefCell::default(),
             permits: Permits::default(),
+            coordinator: Coordinator::default(),
             leader_since: Cell::new(None),
             key_counts: RefCell::default(),
             peer_reports: RefCell::default(),
--- a/crates/cowslipcross/src/instance.rs
+++ b/crates/cowslipcross/src/instance.rs
@@ -13,7 +13,7 @@
         events::{self, EventFields},
         lead::{election_loop, leader_loop},
         peers::{datagram, heartbeat_protocol},
-        serve::{permits, server},
+        serve::{coordinator, server},
         stop,
         views::{config, targets},
     },
@@ -75,7 +75,7 @@
     spawn_local(targets::poll_targets(context.clone()));
     spawn_local(datagram::receive_messages(context.clone()));
     spawn_local(heartbeat_protocol::send_reports(context.clone()));
-    spawn_local(permits::process_queues(context.clone()));
+    spawn_local(coordinator::process_queues(context.clone()));
     spawn_local(election_loop::run_election(context.clone()));
     spawn_local(leader_loop::run(context.clone()));
     spawn_local(report_skipped_events(context.clone()));
--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -11,7 +11,7 @@
             membership::{self, Member, Membership},
             message::{InstanceReport, LeaderHeartbeat, Message, WireNotice},
         },
-        serve::{crashing_requests, permits},
+        serve::{coordinator, crashing_requests},
         views::{
             store_era,
             target_notices::{self, NoticeSource},
@@ -133,7 +133,7 @@
             membership_hash: context.membership.borrow().hash(),
             config_version: context.operator_version.get(),
             key_counts: take_key_counts(&context),
-            service_times: permits::service_times(&context),
+            service_times: coordinator::service_times(&context),
             notices: own_notices(&context),
             crashes,
             lifted,
--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -13,6 +13,7 @@
         limits::RateLimit,
         names::{Fence, Name, StoreVersion},
         owners::{Assignment, TargetIncarnation},
+        permits::PermitOutcome,
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
@@ -81,8 +82,8 @@
     PermitReturned {
         /// Number of the permit request.
         number: u64,
-        /// Code of the request's [`PermitOutcome`](cowslip_decide::permits::PermitOutcome).
-        outcome: u8,
+        /// How the request ended.
+        outcome: WireOutcome,
         /// Slowdown that the target reported with its response.
         slowdown: Option<f32>,
         /// Milliseconds for which the target wants no requests from the sender.
@@ -142,6 +143,10 @@
     pub lifted: Vec<Fingerprint>,
 }
 
+/// Number of a [`PermitOutcome`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireOutcome(u8);
+
 /// Id and incarnation of a target, whether it is about to stop, its limit in thousandths of a request
 /// per second, and when this was observed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -174,6 +179,33 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireAssignment(u16, u16, Option<(Name, u64)>, u64);
 
+impl From<PermitOutcome> for WireOutcome {
+    fn from(outcome: PermitOutcome) -> Self {
+        Self(match outcome {
+            PermitOutcome::Served => 0,
+            PermitOutcome::Shed => 1,
+            PermitOutcome::Unused => 2,
+            PermitOutcome::NotConnected => 3,
+            PermitOutcome::Broken => 4,
+            PermitOutcome::ServerError => 5,
+        })
+    }
+}
+
+/// Unknown numbers count as [`PermitOutcome::Broken`].
+impl From<WireOutcome> for PermitOutcome {
+    fn from(wire: WireOutcome) -> Self {
+        match wire.0 {
+            0 => Self::Served,
+            1 => Self::Shed,
+            2 => Self::Unused,
+            3 => Self::NotConnected,
+            5 => Self::ServerError,
+            _ => Self::Broken,
+        }
+    }
+}
+
 impl From<&TargetNotice> for WireNotice {
     fn from(notice: &TargetNotice) -> Self {
         Self(
--- a/crates/cowslipcross/src/peers/message_tests.rs
+++ b/crates/cowslipcross/src/peers/message_tests.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Message, WireNotice},
+    cowslip_decide::permits::PermitOutcome,
     quickcheck::quickcheck,
 };
 
@@ -28,7 +29,7 @@
         Message::TargetNotices(vec![notice()]),
         Message::PermitReturned {
             number: 7,
-            outcome: 1,
+            outcome: PermitOutcome::Shed.into(),
             slowdown: Some(1.25),
             quiet_ms: Some(1_500),
             notice: Some(notice()),
--- a/crates/cowslipcross/src/serve/permits.rs
+++ b/crates/cowslipcross/src/serve/permits.rs
@@ -8,15 +8,12 @@
     crate::{
         context::Context,
         peers::{datagram, heartbeat_protocol, message::Message},
-        serve::request::CallerRequest,
+        serve::{coordinator, request::CallerRequest},
         views::target_notices::TargetNotice,
     },
     cowslip_decide::{
         names::Name,
-        permits::{
-            PermitOutcome, PermitReply, PermitReport, PermitRequest, PermitRequestId, Pool,
-            PoolTarget,
-        },
+        permits::{PermitOutcome, PermitReply, PermitReport, PermitRequest},
     },
     std::{
         cell::{Cell, RefCell},
@@ -27,7 +24,7 @@
     },
     tokio::{
         sync::Notify,
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, timeout_at},
     },
 };
 
@@ -39,19 +36,13 @@
 const SKIP_DURATION: Duration = Duration::from_millis(1500);
 /// Time after which a queued permit request is sent again, to learn whether it is still queued.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Interval at which the coordinator processes its queues.
-const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Identifies a pool: a service, and the target if the service is sharded.
 pub type PoolKey = (Name, Option<Name>);
 
-/// State of the permits that this instance grants as coordinator and requests from coordinators.
+/// State of the permits that this instance requests from coordinators.
 #[derive(Default)]
 pub struct Permits {
-    /// Pools that this instance coordinates.
-    pools: RefCell<BTreeMap<PoolKey, Pool<SocketAddr>>>,
-    /// Pool of each request, of any instance, that is queued or has a permit at this coordinator.
-    pool_keys: RefCell<BTreeMap<PermitRequestId<SocketAddr>, PoolKey>>,
     /// Replies to this instance's own permit requests, by number.
     pending_replies: RefCell<BTreeMap<u64, Rc<PendingReply>>>,
     /// Coordinators that did not answer, with the time until which they are skipped.
@@ -96,7 +87,7 @@
     fn drop(&mut self) {
         let message = Message::PermitReturned {
             number: self.number,
-            outcome: encode_outcome(self.outcome.get()),
+            outcome: self.outcome.get().into(),
             slowdown: self.slowdown.get().map(|it| it as f32),
             quiet_ms: self.quiet_time.get().map(|it| it.as_millis() as u64),
             notice: self.notice.borrow().as_ref().map(Into::into),
@@ -252,7 +243,7 @@
                 data_centre,
                 excluded,
             };
-            handle_request(context, (from, number), (service, target), permit_request);
+            coordinator::handle_request(context, (from, number), (service, target), permit_request);
         }
         Message::PermitReturned {
             number,
@@ -263,11 +254,11 @@
         } => {
             heartbeat_protocol::handle_notices(context, Vec::from_iter(notice));
             let report = PermitReport {
-                outcome: decode_outcome(outcome),
+                outcome: outcome.into(),
                 slowdown: slowdown.map(f64::from),
                 quiet_time: quiet_ms.map(Duration::from_millis),
             };
-            handle_return(context, &(from, number), report);
+            coordinator::handle_return(context, &(from, number), report);
         }
         Message::PermitGranted { number, target } => {
             store_reply(context, number, PermitReply::Granted(target))
@@ -293,177 +284,10 @@
     }
 }
 
-/// Grants, queues or refuses a permit as coordinator.
-fn handle_request(
-    context: &Context,
-    id: PermitRequestId<SocketAddr>,
-    pool_key: PoolKey,
-    permit_request: PermitRequest,
-) {
-    let now = Instant::now();
-    let targets = pool_targets(context, &pool_key, now);
-    // Without a reply the requesting instance sends without a permit and skips this coordinator.
-    if targets.is_empty() {
-        return;
-    }
-    let mut pools = context.permits.pools.borrow_mut();
-    let pool = pools.entry(pool_key.clone()).or_default();
-    pool.update_targets(&targets, now);
-    let reply = pool.request_permit(id, permit_request, now);
-    drop(pools);
-    if !matches!(reply, PermitReply::Refused(_)) {
-        context.permits.pool_keys.borrow_mut().insert(id, pool_key);
-    }
-    send_reply(context, id, reply);
-}
-
-/// Frees the slot of a returned permit, or removes the request for it, and grants queued requests.
-fn handle_return(context: &Context, id: &PermitRequestId<SocketAddr>, report: PermitReport) {
-    let Some(pool_key) = context.permits.pool_keys.borrow_mut().remove(id) else {
-        return;
-    };
-    let now = Instant::now();
-    let mut pools = context.permits.pools.borrow_mut();
-    let Some(pool) = pools.get_mut(&pool_key) else {
-        return;
-    };
-    pool.finish_request(id, report, now);
-    let replies = if pool.queue_length() > 0 {
-        pool.process_queue(now)
-    } else {
-        Vec::new()
-    };
-    drop(pools);
-    send_replies(context, replies);
-}
-
-/// Returns the smoothed service times in milliseconds of the sharded services' targets whose pools
-/// this instance coordinates.
-pub fn service_times(context: &Context) -> BTreeMap<Name, u32> {
-    let pools = context.permits.pools.borrow();
-    let times = pools.iter().filter_map(|((_, target), pool)| {
-        let target = target.as_ref()?;
-        let seconds = pool.service_time(target)?;
-        Some((target.clone(), (1000.0 * seconds) as u32))
-    });
-    times.collect()
-}
-
-/// Processes the queues of the pools at intervals; never returns.
-pub async fn process_queues(context: Rc<Context>) {
-    loop {
-        let has_queued = context
-            .permits
-            .pools
-            .borrow()
-            .values()
-            .any(|it| it.queue_length() > 0);
-        // While nothing is queued, only expired permits, whose return was lost, are removed.
-        sleep(if has_queued {
-            QUEUE_POLL_INTERVAL
-        } else {
-            5 * QUEUE_POLL_INTERVAL
-        })
-        .await;
-        let now = Instant::now();
-        let mut replies = Vec::new();
-        let mut pools = context.permits.pools.borrow_mut();
-        for (pool_key, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_idle()) {
-            pool.update_targets(&pool_targets(&context, pool_key, now), now);
-            replies.extend(pool.process_queue(now));
-        }
-        let mut pool_keys = context.permits.pool_keys.borrow_mut();
-        pool_keys
-            .retain(|id, pool_key| pools.get(pool_key).is_some_and(|pool| pool.has_request(id)));
-        drop(pool_keys);
-        drop(pools);
-        send_replies(&context, replies);
-    }
-}
-
-fn send_replies(context: &Context, replies: Vec<(PermitRequestId<SocketAddr>, PermitReply)>) {
-    for (id, reply) in replies {
-        if matches!(reply, PermitReply::Refused(_)) {
-            context.permits.pool_keys.borrow_mut().remove(&id);
-        }
-        send_reply(context, id, reply);
-    }
-}
-
-fn send_reply(
-    context: &Context,
-    (address, number): PermitRequestId<SocketAddr>,
-    reply: PermitReply,
-) {
-    let message = match reply {
-        PermitReply::Granted(target) => Message::PermitGranted { number, target },
-        PermitReply::Queued => Message::PermitQueued { number },
-        PermitReply::Refused(wait) => Message::PermitRefused {
-            number,
-            wait_ms: wait.as_millis() as u64,
-        },
-    };
-    send_message(context, message, address);
-}
-
 /// Sends a datagram, or handles the message directly if it is for this instance.
-fn send_message(context: &Context, message: Message, to: SocketAddr) {
+pub fn send_message(context: &Context, message: Message, to: SocketAddr) {
     match to == context.settings.listen.heartbeats {
         true => handle_message(context, message, to),
         false => datagram::try_send(context, &message, to),
     }
 }
-
-/// Returns the targets of a pool that may get requests.
-fn pool_targets(context: &Context, pool_key: &PoolKey, now: Instant) -> BTreeMap<Name, PoolTarget> {
-    let (service, owner) = pool_key;
-    let config = context.config.borrow();
-    let config = config.as_ref().and_then(|it| it.services.get(service));
-    let cold_rate = config.map_or(0.0, |it| it.cold_rate);
-    let targets = context.targets.borrow();
-    let withdrawn = context.withdrawn.borrow();
-    let notices = context.target_notices.borrow();
-    targets
-        .for_service(service)
-        .filter(|view| match owner {
-            // The requesting instance decides whether the owner of a key may still get requests.
-            Some(owner) => view.report.id == *owner,
-            None => {
-                view.draining_since.is_none() && !withdrawn.contains_key(&view.report.data_centre)
-            }
-        })
-        .map(|view| {
-            let pool_target = PoolTarget {
-                slots: view.report.slots.min(1000) as u32,
-                data_centre: view.report.data_centre.clone(),
-                cold_rate: view.is_cold(now).then_some(cold_rate),
-                rate_limit: notices.rate_limit(&view.target_incarnation()),
-            };
-            (view.report.id.clone(), pool_target)
-        })
-        .collect()
-}
-
-/// Returns the outcome's number in datagrams.
-fn encode_outcome(outcome: PermitOutcome) -> u8 {
-    match outcome {
-        PermitOutcome::Served => 0,
-        PermitOutcome::Shed => 1,
-        PermitOutcome::Unused => 2,
-        PermitOutcome::NotConnected => 3,
-        PermitOutcome::Broken => 4,
-        PermitOutcome::ServerError => 5,
-    }
-}
-
-/// Returns the outcome with a number in datagrams; unknown ones count as [`PermitOutcome::Broken`].
-fn decode_outcome(code: u8) -> PermitOutcome {
-    match code {
-        0 => PermitOutcome::Served,
-        1 => PermitOutcome::Shed,
-        2 => PermitOutcome::Unused,
-        3 => PermitOutcome::NotConnected,
-        5 => PermitOutcome::ServerError,
-        _ => PermitOutcome::Broken,
-    }
-}
