test(soak): targets name limits (--limits), and all instances together have to keep them

From what targets and callers see: from 3 s after a target first named a limit, at most one and a half times the limit and 5 requests in any 4 s, from instances that had passed on such a response half a second before. Faults of other seeds stay as they are.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -91,6 +91,8 @@
     AnnounceStop(usize),
     /// A target refuses requests and asks for quiet.
     AskForQuiet(usize),
+    /// A target names a limit of so many requests a second.
+    NameLimit(usize, u32),
 }
 
 /// Draws a fault of those that are played only in drills, and its duration.
@@ -105,6 +107,14 @@
     (fault, duration)
 }
 
+/// Draws a limit that a target names, and for how long.
+pub fn draw_limit(random: &mut StdRng, target_count: usize) -> (Fault, Duration) {
+    let target = random.random_range(0..target_count);
+    let rate = random.random_range(1..=5);
+    let duration = Duration::from_millis(random.random_range(5000..12_000));
+    (Fault::NameLimit(target, rate), duration)
+}
+
 /// Draws a fault and its duration.
 pub fn draw_fault(
     random: &mut StdRng,
@@ -199,6 +209,12 @@
             sleep(duration).await;
             proxied.set_mode(target::TargetMode::Normal);
         }
+        Fault::NameLimit(index, rate) => {
+            let proxied = deployment.targets[index].lock().await;
+            proxied.set_mode(target::TargetMode::NameLimit(rate));
+            sleep(duration).await;
+            proxied.set_mode(target::TargetMode::Normal);
+        }
         Fault::CrashTarget(index) => crash_target(&deployment, index, duration).await,
         Fault::DrainTarget(index) => drain_target(&deployment, index, duration).await,
         Fault::PauseInstance(index) => {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod guarantees;
 pub mod history;
 pub mod instance;
+mod limits;
 mod notices;
 pub mod proxy;
 pub mod run;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -36,6 +36,7 @@
             fault_time: Duration::from_secs(number("seconds")),
             instance_count: number("instances") as usize,
             drills: matches.get_flag("drills"),
+            limits: matches.get_flag("limits"),
         };
         match runtime.block_on(run::run_deployment(&options)) {
             Ok(report) if report.violations.is_empty() => {
@@ -104,6 +105,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also restore the store, let targets announce their stop and ask for quiet"),
         )
+        .arg(
+            Arg::new("limits")
+                .long("limits")
+                .action(ArgAction::SetTrue)
+                .help("Also let targets name limits on the requests of all instances together"),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -4,6 +4,7 @@
     crate::{
         guarantees::{DRAIN_LIMIT, SCHEDULING_SLACK, was_killed_or_paused},
         history::{EventKind, HistoryData, Outcome, RequestRecord},
+        limits,
     },
     cowslip_adapter_standins::observer::{Arrival, Notice},
     std::{collections::BTreeMap, time::Duration},
@@ -15,7 +16,7 @@
 const MAX_QUIET_REQUESTS: usize = 2;
 
 /// An arrival with the request that caused it.
-type Delivery<'a> = (&'a Arrival, &'a RequestRecord);
+pub type Delivery<'a> = (&'a Arrival, &'a RequestRecord);
 
 /// Returns the violations, each with its evidence.
 pub fn check_notices(history: &HistoryData, arrivals: &[Arrival]) -> Vec<String> {
@@ -33,8 +34,11 @@
         .filter_map(|delivery| match delivery.0.notice? {
             Notice::Leaving => check_leaving(history, &deliveries, delivery),
             Notice::Quiet(period) => check_quiet(history, &deliveries, delivery, period),
+            Notice::Limit(_) => None,
         });
-    found.collect()
+    let mut found: Vec<String> = found.collect();
+    found.extend(limits::check_limits(history, &deliveries));
+    found
 }
 
 /// Checks that an instance that has passed on the announcement of a stop sends the target nothing
@@ -90,7 +94,7 @@
 }
 
 /// Returns whether the instance was killed, paused or restarted between two requests.
-fn is_excused(history: &HistoryData, later: &RequestRecord, earlier: &RequestRecord) -> bool {
+pub fn is_excused(history: &HistoryData, later: &RequestRecord, earlier: &RequestRecord) -> bool {
     let has_stopped = history.events.iter().any(|event| {
         event.event_kind == EventKind::InstanceStop(later.instance.clone())
             && event.started_at <= later.ended_at
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -4,7 +4,10 @@
     crate::{
         Result,
         callers::{self, InstanceAddresses},
-        faults::{Deployment, Fault, draw_drill, draw_fault, inject_fault, publish_next_config},
+        faults::{
+            Deployment, Fault, draw_drill, draw_fault, draw_limit, inject_fault,
+            publish_next_config,
+        },
         guarantees,
         history::{History, HistoryData, Outcome},
         instance::Instance,
@@ -43,6 +46,8 @@
 
 /// Share of the faults that are drills, if they are played.
 const DRILL_SHARE: f64 = 0.3;
+/// Limits that targets name for each fault, if they do.
+const LIMIT_SHARE: f64 = 0.3;
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -60,6 +65,8 @@
     /// Whether the store is also restored from backups, and targets announce their stop or ask for
     /// quiet.
     pub drills: bool,
+    /// Whether targets also name limits.
+    pub limits: bool,
 }
 
 /// Result of a run.
@@ -178,6 +185,7 @@
     let mut random = StdRng::seed_from_u64(options.seed);
     // Drills do not change the other faults of a seed.
     let mut drill_random = StdRng::seed_from_u64(!options.seed);
+    let mut limit_random = StdRng::seed_from_u64(options.seed.rotate_left(32));
     let end = Instant::now() + options.fault_time;
     let (mut active, mut faults) = (JoinSet::new(), Vec::new());
     while Instant::now() < end {
@@ -190,6 +198,11 @@
         };
         faults.push(fault);
         active.spawn(inject_fault(deployment.clone(), fault, duration));
+        if options.limits && limit_random.random_bool(LIMIT_SHARE) {
+            let (limit, duration) = draw_limit(&mut limit_random, target_count);
+            faults.push(limit);
+            active.spawn(inject_fault(deployment.clone(), limit, duration));
+        }
     }
     while let Some(result) = active.join_next().await {
         if let Err(error) = result {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -285,3 +285,34 @@
     assert_eq!(check(quiet, &[0, 900, 1000, 1100], vec![]), ["BUDGET"]);
     assert!(check(quiet, &[0, 900, 1000, 1100], restart()).is_empty());
 }
+
+#[test]
+fn more_requests_than_a_named_limit_allows_are_reported() {
+    let start = Instant::now();
+    let ok = Outcome::Response(200, true);
+    // Requests of two instances in turn, one each 100 ms; the target names a limit of 1 a second until
+    // `named_until` in milliseconds.
+    let check = |count: u64, named_until: u64, events| {
+        let instance = |number: u64| format!("i{}", number % 2);
+        let requests = (0..count).map(|number| RequestRecord {
+            id: format!("r{number}"),
+            instance: instance(number),
+            ..new_request(start, 100 * number, RequestKind::Lookup, ok)
+        });
+        let arrivals = (0..count).map(|number| Arrival {
+            request_id: format!("r{number}"),
+            notice: (100 * number < named_until).then_some(Notice::Limit(1)),
+            ..new_arrival(start, 100 * number + 5, true)
+        });
+        let arrivals: Vec<Arrival> = arrivals.collect();
+        violation_prefixes(requests.collect(), events, &arrivals)
+    };
+    // Of 44 requests, 11 arrive after the time until which the limit need not be kept.
+    assert!(check(44, 9000, vec![]).is_empty());
+    assert_eq!(check(46, 9000, vec![]), ["LIMIT"]);
+    assert!(check(46, 4000, vec![]).is_empty());
+    // An instance that was killed has told no one since.
+    let killed = EventKind::InstanceKill("i0".into());
+    let restart = vec![new_event(start, 3000, Some(4500), killed)];
+    assert!(check(46, 9000, restart).is_empty());
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -42,17 +42,41 @@
 /// Seed and seconds of the short run with drills.
 const DRILL_RUN: (u64, u64) = (9_002, 12);
 
+/// Seed and seconds of the short run with drills in which targets also name limits.
+const LIMIT_RUN: (u64, u64) = (9_300, 16);
+
 /// Prefix of the violations listed in KNOWN-RED.txt: they are printed and do not fail the test.
 const KNOWN_VIOLATION: &str = "FAILBACK:";
 
-async fn check_guarantees(seed: u64, seconds: u64, drills: bool) {
+/// Faults that are played beside the usual ones.
+#[derive(Clone, Copy)]
+struct FurtherFaults {
+    drills: bool,
+    limits: bool,
+}
+
+const NO_FURTHER: FurtherFaults = FurtherFaults {
+    drills: false,
+    limits: false,
+};
+const DRILLS: FurtherFaults = FurtherFaults {
+    drills: true,
+    ..NO_FURTHER
+};
+const DRILLS_AND_LIMITS: FurtherFaults = FurtherFaults {
+    limits: true,
+    ..DRILLS
+};
+
+async fn check_guarantees(seed: u64, seconds: u64, further: FurtherFaults) {
     let options = RunOptions {
         program_path: run::find_program().expect("cowslipcross is built"),
         work_directory: run::work_directory_path(seed),
         seed,
         fault_time: Duration::from_secs(seconds),
         instance_count: 4,
-        drills,
+        drills: further.drills,
+        limits: further.limits,
     };
     let report = run::run_deployment(&options)
         .await
@@ -83,18 +107,23 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_faults() {
-    check_guarantees(SHORT_RUN.0, SHORT_RUN.1, false).await;
+    check_guarantees(SHORT_RUN.0, SHORT_RUN.1, NO_FURTHER).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_in_drills() {
-    check_guarantees(DRILL_RUN.0, DRILL_RUN.1, true).await;
+    check_guarantees(DRILL_RUN.0, DRILL_RUN.1, DRILLS).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_while_targets_name_limits() {
+    check_guarantees(LIMIT_RUN.0, LIMIT_RUN.1, DRILLS_AND_LIMITS).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_that_failed_once_pass() {
-    let runs =
-        FAILED_RUNS.map(|(seed, seconds, _)| tokio::spawn(check_guarantees(seed, seconds, false)));
+    let runs = FAILED_RUNS
+        .map(|(seed, seconds, _)| tokio::spawn(check_guarantees(seed, seconds, NO_FURTHER)));
     for run in runs {
         run.await.expect("the run violates no guarantee");
     }
