fix(serve): targets that have ended are found also at the connection limit

Cause: after a connection was closed without a response, the check whether the target accepts another one counted as passed if this instance had as many connections as it may have. Idle connections to a target that has ended still count, so that with a small share (2 connections on large sites) its end went unnoticed, and with it the request that caused it.

Evidence: the new test fails with the check as it was and passes now.

--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -50,7 +50,7 @@
             max_connections,
         )
         .await;
-        if exchange_outcome.is_closed() && !connections.is_alive(max_connections).await {
+        if exchange_outcome.is_closed() && !connections.is_alive().await {
             record_target_end(&context, &request, &incarnation);
         }
         if matches!(exchange_outcome, ExchangeOutcome::Completed(_)) {
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -186,14 +186,14 @@
     }
 
     /// Returns whether the target accepts connections, after it has closed one without a response.
-    pub async fn is_alive(&self, max_connections: u32) -> bool {
-        match timeout(ALIVE_TIMEOUT, self.open(max_connections)).await {
+    pub async fn is_alive(&self) -> bool {
+        // Connections to a target that has ended may still be counted.
+        match timeout(ALIVE_TIMEOUT, self.open(u32::MAX)).await {
             Ok(Ok(connection)) => {
                 self.return_idle(connection, None);
                 true
             }
-            Ok(Err(ConnectError::LimitReached)) => true,
-            Ok(Err(ConnectError::Failed)) | Err(_) => false,
+            _ => false,
         }
     }
 
--- a/crates/cowslipcross/src/serve/target_connections_tests.rs
+++ b/crates/cowslipcross/src/serve/target_connections_tests.rs
@@ -22,6 +22,23 @@
     TargetConnections::new(&report, Instant::now())
 }
 
+#[tokio::test]
+async fn a_target_that_has_ended_is_not_alive_however_many_connections_it_had() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let connections = connections_to(listener.local_addr().expect("an address"));
+    LocalSet::new()
+        .run_until(async {
+            for _ in 0..2 {
+                let opened = connections.open(2).await.expect("a connection");
+                connections.return_idle(opened, None);
+            }
+            assert!(connections.is_alive().await);
+            drop(listener);
+            assert!(!connections.is_alive().await);
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn a_connection_that_was_given_up_before_it_was_open_does_not_count() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
