fix(permits): the wait for a cold target without a rate is finite

Cause: since limits count for the throughput of a pool, a service whose cold rate is 0, or not known yet, has a throughput of 0, and the wait of a second request is infinite, which ended the process.

Evidence: the new test panicked before and passes now. With it goes a condition in the notices that was always implied.

--- a/crates/cowslipcross/src/views/target_notices.rs
+++ b/crates/cowslipcross/src/views/target_notices.rs
@@ -155,10 +155,8 @@
 
     /// Drops notices that no longer matter.
     pub fn remove_old(&mut self, targets: &TargetSnapshot, now: Instant) {
-        self.0.retain(|id, it| {
-            let age = now - it.changed_at;
-            age < REPEAT_TIME || age < NOTICE_MEMORY || targets.get(id).is_some()
-        });
+        self.0
+            .retain(|id, it| now - it.changed_at < NOTICE_MEMORY || targets.get(id).is_some());
     }
 }
 
--- a/crates/decide/src/permits/mod.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -25,6 +25,8 @@
 const RETRY_AFTER_RATIO: f64 = 0.5;
 /// Part of the mean service time that must be left before the deadline.
 const MIN_SERVICE_RATIO: f64 = 0.8;
+/// Requests per second that a pool serves at least, for estimates of waits.
+const MIN_THROUGHPUT: f64 = 0.01;
 /// Shortest time after which a refused caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -334,6 +336,7 @@
             .values()
             .map(|it| it.throughput(service_time))
             .sum();
+        let throughput = throughput.max(MIN_THROUGHPUT);
         let wait = queue / throughput;
         // The rate of limited targets does not depend on when their requests end.
         let token_waits = self.targets.values().map(|it| it.token_wait(now));
--- a/crates/decide/tests/permits.rs
+++ b/crates/decide/tests/permits.rs
@@ -333,6 +333,22 @@
     assert!(*wait >= millis(1000) && *wait <= millis(4000), "{wait:?}");
 }
 
+#[test]
+fn requests_for_a_cold_target_without_a_rate_are_refused_with_a_finite_wait() {
+    let now = Instant::now();
+    let mut pool: Pool<u8> = Pool::default();
+    pool.update_targets(&pool_targets(&[("a", Some(0.0))]), now);
+    let ask = |pool: &mut Pool<u8>, number| {
+        pool.request_permit((0, number), permit_request(1, now, 500, 4000), now)
+    };
+    // The token that the target starts with.
+    assert!(is_granted(&ask(&mut pool, 0)));
+    for number in 1..4 {
+        let reply = ask(&mut pool, number);
+        assert!(matches!(reply, PermitReply::Refused(_)), "{reply:?}");
+    }
+}
+
 #[test]
 fn requests_go_to_targets_without_a_limit_rather_than_wait() {
     let now = Instant::now();
