fix(serve): a request that turns harmful is blocked sooner

Cause: a block was refuted for 10 s after such a request had last been served, so that one that was harmless until then could crash targets for 10 s. Requests that are merely in progress when targets end are mostly served within 2 s before, too.

Evidence: the new test fails with 10 s (no block within 3 s after the third crash) and passes with 2 s. Instances also stop reporting ends of targets under a content and caller whose block was lifted, as they did for the content alone.

--- a/crates/cowslipcross/src/serve/crashing_requests.rs
+++ b/crates/cowslipcross/src/serve/crashing_requests.rs
@@ -178,7 +178,7 @@
         let mut known = context.crashing_requests.borrow_mut();
         known
             .own_crashes
-            .retain(|(crash, _)| crash.request.content != request);
+            .retain(|(crash, _)| !crash.request.contains(request));
         if known.log.record_served(request, now) {
             known.add_change(request, BlockState::Lifted, now);
             drop(known);
--- a/crates/cowslipcross/src/serve/fingerprints.rs
+++ b/crates/cowslipcross/src/serve/fingerprints.rs
@@ -54,6 +54,11 @@
         let caller = Fingerprint(hasher.digest());
         Self { content, caller }
     }
+
+    /// Returns whether this is one of the fingerprints.
+    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
+        [self.content, self.caller].contains(&fingerprint)
+    }
 }
 
 #[cfg(test)]
--- a/crates/decide/src/crashes.rs
+++ b/crates/decide/src/crashes.rs
@@ -22,8 +22,9 @@
 /// Time for which a request is blocked after the last target has ended under it, and for which
 /// targets that have ended are remembered.
 const BLOCK_TIME: Duration = Duration::from_secs(600);
-/// Time for which requests that were served are remembered.
-const SERVED_MEMORY: Duration = Duration::from_secs(10);
+/// Time for which requests that were served are remembered. A request that was harmless until now is
+/// not blocked before this has passed.
+const SERVED_MEMORY: Duration = Duration::from_secs(2);
 /// Most requests that are remembered as served.
 const MAX_SERVED: usize = 4096;
 /// Most requests that are remembered because of targets that ended.
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -102,3 +102,20 @@
     let known = log.record_crash(Fingerprint(19_999), target("b", 1), later);
     assert_eq!(known, BlockChange::Blocked);
 }
+
+#[test]
+fn a_request_that_turns_harmful_is_blocked_within_the_time_that_callers_allow() {
+    let start = Instant::now();
+    let mut log = CrashLog::default();
+    log.record_served(REQUEST, start);
+    // It ends a target each 100 ms from now on.
+    let blocked_at = (1..100).find(|number| {
+        let now = start + Duration::from_millis(100 * number);
+        log.record_crash(REQUEST, target("a", *number), now) == BlockChange::Blocked
+    });
+    // From the third crash, 3 s are allowed.
+    assert!(
+        blocked_at.is_some_and(|number| number <= 3 + 30),
+        "{blocked_at:?}"
+    );
+}
