--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -19,6 +19,14 @@
     tokio::{task::spawn_local, time::Instant},
 };
 
+/// What the coordinator of the pool is told of a target after an attempt.
+struct TargetFeedback {
+    /// Time for which the target wants no requests from this instance.
+    quiet_time: Option<Duration>,
+    /// What the target has said of itself in its response.
+    notice: Option<TargetNotice>,
+}
+
 /// Sends a request to a target once and reports the outcome with the permit.
 ///
 /// A request that is not idempotent is continued in a task of its own if its caller disconnects.
@@ -37,8 +45,8 @@
         id: target.clone(),
         incarnation: connections.incarnation,
     };
-    let known_limit = context.target_notices.borrow().rate_limit(&incarnation);
-    if known_limit.is_some() {
+    let limit = context.target_notices.borrow().rate_limit(&incarnation);
+    if limit.is_some() {
         context.metrics.count_limited_send(permit.is_some());
     }
     let attempt = async move {
@@ -50,22 +58,18 @@
             max_connections,
         )
         .await;
-        if exchange_outcome.is_closed() && !connections.is_alive().await {
-            record_target_end(&context, &request, &incarnation);
-        }
-        if matches!(exchange_outcome, ExchangeOutcome::Completed(_)) {
-            crashing_requests::record_served(&context, &request);
-        }
-        let quiet_time = apply_quiet_period(&context, &request.service, &connections, &incarnation);
-        let notice = read_notice(&context, &connections, &incarnation);
-        if let Some(notice) = &notice {
-            target_notices::record(&context, notice.clone(), NoticeSource::OwnRequest);
-        }
+        let feedback = apply_end(
+            &context,
+            &request,
+            (&connections, &incarnation),
+            &exchange_outcome,
+        )
+        .await;
         if let Some(permit) = permit {
             permit.outcome.set(permit_outcome(&exchange_outcome));
             permit.slowdown.set(connections.slowdown());
-            permit.quiet_time.set(quiet_time);
-            permit.notice.replace(notice);
+            permit.quiet_time.set(feedback.quiet_time);
+            permit.notice.replace(feedback.notice);
         }
         exchange_outcome
     };
@@ -76,6 +80,29 @@
     joined.unwrap_or(ExchangeOutcome::Broken("task of the attempt failed"))
 }
 
+/// Applies what the end of an attempt tells of the target and of the request.
+async fn apply_end(
+    context: &Context,
+    request: &CallerRequest,
+    (connections, target): (&TargetConnections, &TargetIncarnation),
+    outcome: &ExchangeOutcome,
+) -> TargetFeedback {
+    if outcome.is_closed() && !connections.is_alive().await {
+        record_target_end(context, request, target);
+    }
+    if matches!(outcome, ExchangeOutcome::Completed(_)) {
+        crashing_requests::record_served(context, request);
+    }
+    let notice = read_notice(context, connections, target);
+    if let Some(notice) = &notice {
+        target_notices::record(context, notice.clone(), NoticeSource::OwnRequest);
+    }
+    TargetFeedback {
+        quiet_time: apply_quiet_period(context, &request.service, connections, target),
+        notice,
+    }
+}
+
 /// Records that a target has ended while it ran a request.
 fn record_target_end(context: &Context, request: &CallerRequest, target: &TargetIncarnation) {
     context.metrics.count_target_end(&request.service);
