--- a/crates/cowslipcross/src/serve/crashing_requests.rs
+++ b/crates/cowslipcross/src/serve/crashing_requests.rs
@@ -140,15 +140,16 @@
     tell_leader(context, &Message::Crashes(vec![wire]));
 }
 
-/// Records that a target has run a request to its end; blocks on such requests are lifted.
+/// Records that a target has run a request to its end: blocks on such requests are lifted.
 pub fn record_served(context: &Context, request: &CallerRequest) {
     let now = Instant::now();
     let Fingerprints { content, caller } = request.fingerprints;
     for fingerprint in [content, caller] {
         let mut known = context.crashing_requests.borrow_mut();
+        let was_blocked = known.log.remaining_block(fingerprint, now).is_some();
         if known.log.record_served(fingerprint, now) {
             drop(known);
-            tell_lifted(context, fingerprint);
+            tell_lifted(context, fingerprint, was_blocked);
         }
     }
 }
@@ -179,10 +180,13 @@
         known
             .own_crashes
             .retain(|(crash, _)| !crash.request.contains(request));
+        let was_blocked = known.log.remaining_block(request, now).is_some();
         if known.log.record_served(request, now) {
             known.add_change(request, BlockState::Lifted, now);
             drop(known);
-            record_event(context, events::BLOCK_LIFTED, request);
+            if was_blocked {
+                record_event(context, events::BLOCK_LIFTED, request);
+            }
         }
     }
 }
@@ -201,7 +205,7 @@
 fn apply_change(context: &Context, request: Fingerprint, change: BlockChange) {
     match change {
         BlockChange::None => {}
-        BlockChange::Refuted => tell_lifted(context, request),
+        BlockChange::Refuted => tell_lifted(context, request, true),
         BlockChange::Blocked => {
             let mut known = context.crashing_requests.borrow_mut();
             known.add_change(request, BlockState::Blocked, Instant::now());
@@ -212,12 +216,15 @@
     }
 }
 
-/// Lifts a block that this instance has refuted, and tells the leader.
-fn tell_lifted(context: &Context, request: Fingerprint) {
+/// Tells the leader that such a request was served, so that the targets that have ended under it count
+/// no more; records an event if it `was_blocked`.
+fn tell_lifted(context: &Context, request: Fingerprint, was_blocked: bool) {
     let mut known = context.crashing_requests.borrow_mut();
     known.add_change(request, BlockState::Lifted, Instant::now());
     drop(known);
-    record_event(context, events::BLOCK_LIFTED, request);
+    if was_blocked {
+        record_event(context, events::BLOCK_LIFTED, request);
+    }
     tell_leader(context, &Message::BlocksLifted(vec![request]));
     context.leader_work.notify_one();
 }
