fix(serve): cold targets get nothing that their coordinator does not count

A cold target's rate was counted by its coordinator, and apart from it by each instance that got no reply from the coordinator: two coordinators and all these shares together exceed what a cold target bears.

Change: as for limits, a cold target gets no request without a permit; the instance refuses it for 0.15 s, or asks the next coordinator. The second counter and its buckets are gone. The metric of sends to limited targets counts cold ones, too.

--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -83,7 +83,7 @@
             ),
             limited_sends: registry.counter_with_labels(
                 "limited_sends_total",
-                "Requests sent to targets that have named a limit.",
+                "Requests sent to targets that are cold or have named a limit.",
                 &["permit"],
             ),
             target_ends: registry.counter_with_labels(
--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -11,6 +11,7 @@
             request::CallerRequest,
             request_events,
             target_connections::{ConnectError, LimitStatement, TargetConnections},
+            target_selection,
         },
         views::target_notices::{self, NoticeSource, TargetNotice},
     },
@@ -45,8 +46,7 @@
         id: target.clone(),
         incarnation: connections.incarnation,
     };
-    let limit = context.target_notices.borrow().rate_limit(&incarnation);
-    if limit.is_some() {
+    if target_selection::is_limited(&context, &incarnation) {
         context.metrics.count_limited_send(permit.is_some());
     }
     let attempt = async move {
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -93,9 +93,9 @@
     if permit.is_some() && !is_still_owner(select_target(context, request)) {
         return Step::SelectAfter(Duration::ZERO);
     }
-    // With a permit, the coordinator limits the rate of a cold target.
+    // With a permit, the coordinator limits the rate of the target.
     if permit.is_none()
-        && let Err(wait) = target_selection::admit_without_permit(context, request, target)
+        && let Err(wait) = target_selection::admit_without_permit(context, target)
     {
         return Step::Finish(overload_outcome(history, wait));
     }
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -7,10 +7,7 @@
         http_client::MAX_READ_BUFFER_BYTES,
         targets::TargetReport,
     },
-    cowslip_decide::{
-        limits::{RateLimit, TokenBucket},
-        service_time::ServiceTime,
-    },
+    cowslip_decide::{limits::RateLimit, service_time::ServiceTime},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     socket2::SockRef,
@@ -83,8 +80,6 @@
     pub load: Cell<Option<(Load, Instant)>>,
     /// Smoothed service time of the target.
     pub service_time: Cell<ServiceTime>,
-    /// Limits this instance's requests while the target is cold.
-    pub cold_tokens: RefCell<TokenBucket>,
     /// End of the time for which the target is avoided.
     pub avoid_until: Cell<Option<Instant>>,
     /// End of the time for which the target wants no requests from this instance.
@@ -105,14 +100,13 @@
 
 impl TargetConnections {
     /// Creates the state for a target without opening a connection.
-    pub fn new(target: &TargetReport, now: Instant) -> Self {
+    pub fn new(target: &TargetReport) -> Self {
         Self {
             address: target.address,
             incarnation: target.incarnation,
             active_requests: Cell::new(0),
             load: Cell::new(None),
             service_time: Cell::default(),
-            cold_tokens: RefCell::new(TokenBucket::new(rand::random(), now)),
             avoid_until: Cell::new(None),
             quiet_until: Cell::new(None),
             is_leaving: Cell::new(false),
--- a/crates/cowslipcross/src/serve/target_connections_tests.rs
+++ b/crates/cowslipcross/src/serve/target_connections_tests.rs
@@ -4,7 +4,7 @@
     super::{ConnectError, TargetConnections},
     cowslip_adapter::targets::TargetReport,
     std::{future::ready, net::SocketAddr, time::Duration},
-    tokio::{net::TcpListener, select, task::LocalSet, time::Instant},
+    tokio::{net::TcpListener, select, task::LocalSet},
 };
 
 fn connections_to(address: SocketAddr) -> TargetConnections {
@@ -19,7 +19,7 @@
         sequence: 1,
         incarnation: 1,
     };
-    TargetConnections::new(&report, Instant::now())
+    TargetConnections::new(&report)
 }
 
 #[tokio::test]
--- a/crates/cowslipcross/src/serve/target_selection.rs
+++ b/crates/cowslipcross/src/serve/target_selection.rs
@@ -9,9 +9,9 @@
         },
         views::target_snapshot::{TargetSnapshot, TargetView},
     },
-    cowslip_adapter::config::Service,
     cowslip_decide::{
         names::Name,
+        owners::TargetIncarnation,
         service_time::{self, TargetEstimate},
     },
     std::{ops::RangeInclusive, rc::Rc, time::Duration},
@@ -32,9 +32,6 @@
 const COST_JITTER: RangeInclusive<f64> = 0.9..=1.1;
 /// Time after which a target is selected again if the routing data have not changed.
 const RESELECT_INTERVAL: Duration = Duration::from_millis(150);
-/// Part of a cold target's rate that all instances together use without permits; below 1 as each
-/// instance counts only its own requests.
-const NO_PERMIT_RATE_FACTOR: f64 = 0.9;
 
 /// What to do with a request next.
 pub enum Selection {
@@ -104,13 +101,21 @@
     if let Some(wait) = quiet_time(context, view, now) {
         return Selection::Refuse(time_to_return(wait));
     }
-    Selection::Owner(connections_to(context, view, now), view.report.id.clone())
+    Selection::Owner(connections_to(context, view), view.report.id.clone())
 }
 
-/// Returns whether a target has named a limit.
-fn is_limited(context: &Context, view: &TargetView) -> bool {
+/// Returns whether an incarnation of a target takes only so many requests a second.
+pub fn is_limited(context: &Context, target: &TargetIncarnation) -> bool {
+    let targets = context.targets.borrow();
+    let view = targets.get(&target.id);
+    let view = view.filter(|it| it.report.incarnation == target.incarnation);
+    view.is_some_and(|view| has_limited_rate(context, view, Instant::now()))
+}
+
+/// Returns whether a target is cold or has named a limit.
+fn has_limited_rate(context: &Context, view: &TargetView, now: Instant) -> bool {
     let notices = context.target_notices.borrow();
-    notices.rate_limit(&view.target_incarnation()).is_some()
+    view.is_cold(now) || notices.rate_limit(&view.target_incarnation()).is_some()
 }
 
 /// Returns the rest of the time for which a target wants no requests from this instance.
@@ -171,7 +176,7 @@
         .filter(|view| {
             is_available(context, view, now) && quiet_time(context, view, now).is_none()
         })?;
-    Some(connections_to(context, view, now))
+    Some(connections_to(context, view))
 }
 
 /// Returns whether a target of an unsharded service may get new work.
@@ -179,42 +184,23 @@
     view.draining_since.is_none() && !is_withdrawn(context, view, now, 0.0)
 }
 
-/// Checks whether a target may get a request without a permit. That uses a token of this instance's
-/// share of a cold target's rate. A target that has named a limit gets no requests without a permit, as
-/// instances that each use a share of a low limit could send at the same moment.
+/// Checks whether a target may get a request without a permit. One that takes only so many requests a
+/// second may not: only its coordinator counts what all instances send.
 ///
 /// # Errors
 /// Returns the time after which a retry may succeed if the target may not get the request now.
-pub fn admit_without_permit(
-    context: &Context,
-    request: &CallerRequest,
-    target: &Name,
-) -> Result<(), Duration> {
-    let now = Instant::now();
-    let config = context.config.borrow();
-    let service = config
-        .as_ref()
-        .and_then(|it| it.services.get(&request.service));
+pub fn admit_without_permit(context: &Context, target: &Name) -> Result<(), Duration> {
     let targets = context.targets.borrow();
-    if targets
-        .get(target)
-        .is_some_and(|view| is_limited(context, view))
-    {
-        return Err(RESELECT_INTERVAL);
-    }
-    let cold = targets.get(target).filter(|view| view.is_cold(now));
-    match (service, cold) {
-        (Some(service), Some(view)) => {
-            try_take_token(context, service, &connections_to(context, view, now), now)
-        }
-        _ => Ok(()),
+    let view = targets.get(target);
+    match view.is_some_and(|view| has_limited_rate(context, view, Instant::now())) {
+        true => Err(RESELECT_INTERVAL),
+        false => Ok(()),
     }
 }
 
 /// Selects a target of an unsharded service without a permit, except those in `excluded`.
 ///
-/// Warm targets are preferred, by expected response time; cold ones are limited in their rate, and those
-/// that have named a limit get nothing.
+/// The one with the least expected response time is chosen, among those that need no permit.
 ///
 /// # Errors
 /// Returns the time after which a retry may succeed if no target may get the request now.
@@ -225,17 +211,14 @@
 ) -> Result<(Rc<TargetConnections>, Name), Duration> {
     let now = Instant::now();
     let targets = context.targets.borrow().clone();
-    let available: Vec<&TargetView> = targets
+    let available = targets
         .for_service(&request.service)
         .filter(|view| is_available(context, view, now))
         .filter(|view| !excluded.contains(&view.report.id))
-        .collect();
-    let warm = available
-        .iter()
-        .filter(|view| !view.is_cold(now) && !is_limited(context, view));
-    let best = warm
+        .filter(|view| !has_limited_rate(context, view, now));
+    let best = available
         .map(|view| {
-            let connections = connections_to(context, view, now);
+            let connections = connections_to(context, view);
             let is_local = view.report.data_centre == context.settings.data_centre;
             let cost = (
                 connections.is_avoided(now),
@@ -244,17 +227,8 @@
             (connections, view, cost)
         })
         .min_by(|(_, _, a), (_, _, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-    if let Some((connections, view, _)) = best {
-        return Ok((connections, view.report.id.clone()));
-    }
-    let mut retry_after = RESELECT_INTERVAL;
-    for view in available {
-        match admit_without_permit(context, request, &view.report.id) {
-            Ok(()) => return Ok((connections_to(context, view, now), view.report.id.clone())),
-            Err(wait) => retry_after = wait,
-        }
-    }
-    Err(retry_after)
+    best.map(|(connections, view, _)| (connections, view.report.id.clone()))
+        .ok_or(RESELECT_INTERVAL)
 }
 
 /// Estimates a target's response time to another request, in seconds.
@@ -279,18 +253,6 @@
     estimate.response_time() * rand::random_range(COST_JITTER)
 }
 
-/// Removes a token from the target's bucket, which fills at this instance's share of the cold rate.
-fn try_take_token(
-    context: &Context,
-    service: &Service,
-    connections: &TargetConnections,
-    now: Instant,
-) -> Result<(), Duration> {
-    let rate =
-        service.cold_rate * NO_PERMIT_RATE_FACTOR / f64::from(context.instance_count.get().max(1));
-    connections.cold_tokens.borrow_mut().try_take(rate, now)
-}
-
 /// Returns whether a target's data centre has been withdrawn for `factor` times the setting
 /// `bounds.withdrawal`.
 fn is_withdrawn(context: &Context, view: &TargetView, now: Instant, factor: f64) -> bool {
@@ -301,13 +263,13 @@
 }
 
 /// Returns the connections to the current incarnation of a target.
-fn connections_to(context: &Context, view: &TargetView, now: Instant) -> Rc<TargetConnections> {
+fn connections_to(context: &Context, view: &TargetView) -> Rc<TargetConnections> {
     let mut all = context.connections.borrow_mut();
     let id = &view.report.id;
     if let Some(known) = all.get(id).filter(|it| it.matches_target(&view.report)) {
         return known.clone();
     }
-    let created = Rc::new(TargetConnections::new(&view.report, now));
+    let created = Rc::new(TargetConnections::new(&view.report));
     all.insert(id.clone(), created.clone());
     created
 }
--- a/crates/cowslipcross/tests/instance/limited_targets.rs
+++ b/crates/cowslipcross/tests/instance/limited_targets.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::deployment::{Deployment, Instance, booking_request, lookup_request, wait_until},
-    cowslip_adapter_standins::target::{FakeTarget, TargetMode},
+    cowslip_adapter_standins::target::{FakeTarget, TargetMode, TargetOptions},
     futures_util::future::join_all,
     http::StatusCode,
     std::time::Duration,
@@ -18,6 +18,8 @@
 const SPAN: Duration = Duration::from_secs(4);
 /// Most arrivals in a span: one and a half times the limit, and 5 requests.
 const MAX_ARRIVALS: usize = 17;
+/// Time for which the cold target stays cold.
+const COLD_TIME: Duration = Duration::from_secs(60);
 /// Callers at each instance, and the pause of each between two requests.
 const CALLERS: u64 = 3;
 const PAUSE: Duration = Duration::from_millis(20);
@@ -101,3 +103,40 @@
         "{arrivals} requests in {SPAN:?}"
     );
 }
+
+/// Replaces the targets of the unsharded service by one that is cold.
+async fn replace_crews_by_cold_target(deployment: &Deployment) -> FakeTarget {
+    for target in &deployment.crews {
+        target.remove_report(&deployment.store);
+    }
+    let options = TargetOptions {
+        id: "cold".into(),
+        service: "crews".into(),
+        sharded: false,
+        cold_time: COLD_TIME,
+        ..TargetOptions::default()
+    };
+    let target = FakeTarget::start(options).await;
+    target.publish_report(&deployment.store, "ready");
+    target
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cold_target_gets_no_requests_that_its_coordinator_does_not_count() {
+    let deployment = Deployment::start(2, 1, 2, PROCESSING_TIME).await;
+    let cold = replace_crews_by_cold_target(&deployment).await;
+    // Long enough for both instances to read its report.
+    sleep(Duration::from_millis(1500)).await;
+    for (silent, pressed) in [(0, 1), (1, 0)] {
+        press(&deployment, &[0, 1], Duration::from_millis(800)).await;
+        deployment.instances[silent].signal("STOP");
+        press(&deployment, &[pressed], Duration::from_millis(500)).await;
+        deployment.instances[silent].signal("CONT");
+    }
+    assert!(cold.total_executions() > 0);
+    for instance in &deployment.instances {
+        let metrics = instance.metrics().await;
+        let uncounted = "cowslipcross_limited_sends_total{permit=\"no\"}";
+        assert!(!metrics.contains(uncounted), "{metrics}");
+    }
+}
