fix(views): a task that waits for the store does not take the notification of a newer configuration

Since the task that reads the targets could take the notification that is meant for the one that reads the configuration, which would then notice the change only with its next check, up to a second later. Waiting tasks check for themselves now, ten times a second.

--- a/crates/cowslipcross/src/views/store_health.rs
+++ b/crates/cowslipcross/src/views/store_health.rs
@@ -4,10 +4,7 @@
     crate::{context::Context, events},
     cowslip_adapter::Error,
     std::{ops::RangeInclusive, time::Duration},
-    tokio::{
-        select,
-        time::{Instant, sleep_until},
-    },
+    tokio::time::{Instant, timeout_at},
 };
 
 /// Delay after a failed call; multiplied by the number of failures in a row.
@@ -16,6 +13,9 @@
 /// which the store answers it again.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(2400);
 
+/// Interval at which a waiting task checks whether this instance is stale. The notification of that is
+/// left to the task that reads the configuration.
+const STALE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Range of random factors of a delay.
 const JITTER_FACTOR: RangeInclusive<f64> = 0.6..=1.0;
 
@@ -55,10 +55,14 @@
         let jitter = rand::random_range(JITTER_FACTOR);
         loop {
             let delay = retry_delay(self.failures, context.is_config_stale()).mul_f64(jitter);
-            select! {
-                () = sleep_until(start + delay) => return,
-                () = context.store_recovered.notified() => return,
-                () = context.config_stale.notified() => {}
+            let (due, now) = (start + delay, Instant::now());
+            if now >= due {
+                return;
+            }
+            let next_check = due.min(now + STALE_CHECK_INTERVAL);
+            let recovered = context.store_recovered.notified();
+            if timeout_at(next_check, recovered).await.is_ok() {
+                return;
             }
         }
     }
