fix(serve): ends of targets under a request that was served are no longer reported

Cause: an instance that had served a request itself lifted it at the leader, but went on for 10 s to report the target that had ended under it before, so that the leader counted that end again, and a further one within ten minutes would block the request.

Evidence: the new test fails without the change (the end is still in the next report) and passes with it. The fields of a notice's wire type are private again.

--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -14,7 +14,7 @@
         serve::{coordinator, crashing_requests},
         views::{
             store_era,
-            target_notices::{self, NoticeSource},
+            target_notices::{self, NoticeSource, TargetNotice},
             target_updates, targets,
         },
     },
@@ -73,10 +73,10 @@
 
 /// Records what targets have said of themselves in responses to other instances.
 pub fn handle_notices(context: &Context, notices: Vec<WireNotice>) {
-    for notice in notices {
-        let observed_at = HybridTimestamp::from(notice.4);
-        context.events.observe_timestamp(observed_at);
-        target_notices::record(context, notice.into(), NoticeSource::Instance);
+    for wire in notices {
+        let notice = TargetNotice::from(wire);
+        context.events.observe_timestamp(notice.observed_at);
+        target_notices::record(context, notice, NoticeSource::Instance);
     }
 }
 
--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -169,7 +169,7 @@
 /// Id and incarnation of a target, whether it is about to stop, its limit in thousandths of a request
 /// per second, and when this was observed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct WireNotice(pub Name, pub u64, pub bool, pub Option<u64>, pub u64);
+pub struct WireNotice(Name, u64, bool, Option<u64>, u64);
 
 /// Fingerprints of a request's content and of it with its caller, id and incarnation of the target that
 /// ended.
--- a/crates/cowslipcross/src/serve/crashing_requests.rs
+++ b/crates/cowslipcross/src/serve/crashing_requests.rs
@@ -110,6 +110,18 @@
         matching.map(|(request, ..)| *request).collect()
     }
 
+    /// Records that such a request was served: targets that have ended under it count no more. Returns
+    /// whether there were any.
+    fn record_served(&mut self, request: Fingerprint, now: Instant) -> bool {
+        let had_crashes = self.log.record_served(request, now);
+        if had_crashes {
+            self.own_crashes
+                .retain(|(crash, _)| !crash.request.contains(request));
+            self.add_change(request, BlockState::Lifted, now);
+        }
+        had_crashes
+    }
+
     fn add_change(&mut self, request: Fingerprint, state: BlockState, now: Instant) {
         self.changes.retain(|(known, ..)| *known != request);
         self.changes.push((request, state, now));
@@ -147,7 +159,7 @@
     for fingerprint in [content, caller] {
         let mut known = context.crashing_requests.borrow_mut();
         let was_blocked = known.log.remaining_block(fingerprint, now).is_some();
-        if known.log.record_served(fingerprint, now) {
+        if known.record_served(fingerprint, now) {
             drop(known);
             tell_lifted(context, fingerprint, was_blocked);
         }
@@ -177,16 +189,11 @@
     for request in requests {
         let now = Instant::now();
         let mut known = context.crashing_requests.borrow_mut();
-        known
-            .own_crashes
-            .retain(|(crash, _)| !crash.request.contains(request));
         let was_blocked = known.log.remaining_block(request, now).is_some();
-        if known.log.record_served(request, now) {
-            known.add_change(request, BlockState::Lifted, now);
-            drop(known);
-            if was_blocked {
-                record_event(context, events::BLOCK_LIFTED, request);
-            }
+        known.record_served(request, now);
+        drop(known);
+        if was_blocked {
+            record_event(context, events::BLOCK_LIFTED, request);
         }
     }
 }
@@ -205,7 +212,12 @@
 fn apply_change(context: &Context, request: Fingerprint, change: BlockChange) {
     match change {
         BlockChange::None => {}
-        BlockChange::Refuted => tell_lifted(context, request, true),
+        BlockChange::Refuted => {
+            let mut known = context.crashing_requests.borrow_mut();
+            known.add_change(request, BlockState::Lifted, Instant::now());
+            drop(known);
+            tell_lifted(context, request, true);
+        }
         BlockChange::Blocked => {
             let mut known = context.crashing_requests.borrow_mut();
             known.add_change(request, BlockState::Blocked, Instant::now());
@@ -219,9 +231,6 @@
 /// Tells the leader that such a request was served, so that the targets that have ended under it count
 /// no more; records an event if it `was_blocked`.
 fn tell_lifted(context: &Context, request: Fingerprint, was_blocked: bool) {
-    let mut known = context.crashing_requests.borrow_mut();
-    known.add_change(request, BlockState::Lifted, Instant::now());
-    drop(known);
     if was_blocked {
         record_event(context, events::BLOCK_LIFTED, request);
     }
--- a/crates/cowslipcross/src/serve/crashing_requests_tests.rs
+++ b/crates/cowslipcross/src/serve/crashing_requests_tests.rs
@@ -1,9 +1,9 @@
 //! Which blocks heartbeats announce.
 
 use {
-    super::{BlockState, CHANGE_REPEAT_TIME, CrashingRequests, REPEATED_BLOCKS},
-    crate::peers::message::WireBlock,
-    cowslip_decide::crashes::Fingerprint,
+    super::{BlockState, CHANGE_REPEAT_TIME, Crash, CrashingRequests, REPEATED_BLOCKS},
+    crate::{peers::message::WireBlock, serve::fingerprints::Fingerprints},
+    cowslip_decide::{crashes::Fingerprint, owners::TargetIncarnation},
     std::{collections::BTreeSet, time::Duration},
     tokio::time::Instant,
 };
@@ -57,3 +57,22 @@
     assert_eq!((blocks.len(), changes), (1, vec![lifted]));
     assert!(known.for_heartbeat(now + CHANGE_REPEAT_TIME).1.is_empty());
 }
+
+#[test]
+fn ends_of_targets_under_a_request_that_was_served_are_no_longer_reported() {
+    let now = Instant::now();
+    let mut known = CrashingRequests::default();
+    let request = Fingerprints {
+        content: Fingerprint(1),
+        caller: Fingerprint(2),
+    };
+    let target = TargetIncarnation {
+        id: "a".into(),
+        incarnation: 1,
+    };
+    known.log.record_crash(request.caller, target.clone(), now);
+    known.own_crashes.push((Crash { request, target }, now));
+    assert_eq!(known.for_report(now).0.len(), 1);
+    assert!(known.record_served(request.caller, now));
+    assert!(known.for_report(now).0.is_empty());
+}
