refactor(decide): one check of what a target accepts, one start of a suspect

choose_target checked exclusion, slots and quiet periods twice, for warm and for other targets; a request under which a target has ended was entered by the same lines in two places. Behaviour is the same.

--- a/crates/decide/src/crashes.rs
+++ b/crates/decide/src/crashes.rs
@@ -70,6 +70,16 @@
     blocked_until: Option<Instant>,
 }
 
+impl Suspect {
+    fn new(now: Instant) -> Self {
+        Self {
+            targets: BTreeSet::new(),
+            last_crash: now,
+            blocked_until: None,
+        }
+    }
+}
+
 impl CrashLog {
     /// Records that a target has ended while it ran a request.
     pub fn record_crash(
@@ -79,11 +89,10 @@
         now: Instant,
     ) -> BlockChange {
         self.remove_old(now);
-        let suspect = self.suspects.entry(request).or_insert_with(|| Suspect {
-            targets: BTreeSet::new(),
-            last_crash: now,
-            blocked_until: None,
-        });
+        let suspect = self
+            .suspects
+            .entry(request)
+            .or_insert_with(|| Suspect::new(now));
         if !suspect.targets.insert(target) {
             return BlockChange::None;
         }
@@ -99,14 +108,13 @@
         self.remove_old(now);
         let is_served = |at: &Instant| now - *at < SERVED_MEMORY;
         if self.served_at.get(&request).is_some_and(is_served) {
-            self.suspects.remove(&request);
+            self.lift(request);
             return BlockChange::Refuted;
         }
-        let suspect = self.suspects.entry(request).or_insert_with(|| Suspect {
-            targets: BTreeSet::new(),
-            last_crash: now,
-            blocked_until: None,
-        });
+        let suspect = self
+            .suspects
+            .entry(request)
+            .or_insert_with(|| Suspect::new(now));
         let until = now + time.min(BLOCK_TIME);
         let is_new = suspect.blocked_until.is_none_or(|known| known <= now);
         suspect.blocked_until = suspect.blocked_until.max(Some(until));
--- a/crates/decide/src/permits/mod.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -275,12 +275,13 @@
     fn choose_target(&self, instance: &A, request: &PermitRequest, now: Instant) -> Option<Name> {
         let mean = self.mean_service_time();
         let has_queue = !self.queue.is_empty();
-        let accepts = |(name, target): &(&Name, &TargetState<A>)| {
+        let accepts = |name: &Name, target: &TargetState<A>, has_queue: bool| {
             !request.excluded.contains(name)
                 && target.can_accept(has_queue, now)
                 && !target.is_quiet(instance, now)
         };
-        let warm = self.targets.iter().filter(accepts);
+        let warm = self.targets.iter();
+        let warm = warm.filter(|(name, target)| accepts(name, target, has_queue));
         let warm = warm.filter(|(_, target)| target.info.cold_rate.is_none());
         let goal = request.latency_goal.saturating_duration_since(now);
         let max_local_time = LOCAL_GOAL_RATIO * goal.as_secs_f64();
@@ -303,11 +304,7 @@
             return None;
         }
         let mut cold = self.targets.iter();
-        let found = cold.find(|(name, it)| {
-            !request.excluded.contains(name)
-                && it.can_accept(false, now)
-                && !it.is_quiet(instance, now)
-        });
+        let found = cold.find(|(name, target)| accepts(name, target, false));
         found.map(|(name, _)| name.clone())
     }
 
