--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -5,7 +5,10 @@
 use {
     crate::{
         context::Context,
-        serve::{caller_response::RequestOutcome, exchange::ExchangeOutcome, request::BadRequest},
+        serve::{
+            caller_response::RequestOutcome, coordinator, exchange::ExchangeOutcome,
+            request::BadRequest,
+        },
         status::ViewAges,
     },
     cowslip_adapter::config::Route,
@@ -30,6 +33,7 @@
     target_ends: IntCounterVec,
     retries: IntCounterVec,
     targets: IntGauge,
+    avoided_targets: IntGauge,
     unreadable_reports: IntGauge,
     config_version: IntGauge,
     is_leader: IntGauge,
@@ -97,6 +101,10 @@
                 &["service", "end"],
             ),
             targets: registry.gauge("targets", "Targets that report themselves."),
+            avoided_targets: registry.gauge(
+                "avoided_targets",
+                "Targets that the pools coordinated here avoid after failures.",
+            ),
             unreadable_reports: registry.gauge(
                 "unreadable_reports",
                 "Reports of targets that cannot be read.",
@@ -222,6 +230,8 @@
         self.active_requests
             .set(i64::from(context.active_requests.get()));
         self.instances.set(i64::from(context.instance_count.get()));
+        self.avoided_targets
+            .set(coordinator::avoided_targets(context) as i64);
         self.set_view_ages(ViewAges::from(context));
         self.registry.render()
     }
--- a/crates/cowslipcross/src/serve/coordinator.rs
+++ b/crates/cowslipcross/src/serve/coordinator.rs
@@ -85,6 +85,13 @@
     times.collect()
 }
 
+/// Returns the number of targets that the pools coordinated here avoid because of failures.
+pub fn avoided_targets(context: &Context) -> usize {
+    let now = Instant::now();
+    let pools = context.coordinator.pools.borrow();
+    pools.values().map(|pool| pool.avoided_targets(now)).sum()
+}
+
 /// Processes the queues of the pools at intervals; never returns.
 pub async fn process_queues(context: Rc<Context>) {
     loop {
--- a/crates/decide/src/permits/mod.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -148,6 +148,13 @@
         self.queue.len()
     }
 
+    /// Returns the number of targets that get no requests, or only those that no other one can take,
+    /// because of failures that instances reported.
+    pub fn avoided_targets(&self, now: Instant) -> usize {
+        let all = self.targets.values();
+        all.filter(|it| it.is_avoided(now)).count()
+    }
+
     /// Returns the smoothed service time of a target in seconds for each successful response; `None`
     /// before its first one.
     pub fn service_time(&self, target: &str) -> Option<f64> {
--- a/crates/decide/src/permits/target_state.rs
+++ b/crates/decide/src/permits/target_state.rs
@@ -131,6 +131,13 @@
         has_slot && self.token_wait(now).is_zero()
     }
 
+    /// Returns whether the target gets no requests, or only those that no other one can take, because
+    /// instances could not connect to it or got no result from it.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        let is_paused = self.connect_pause.is_some_and(|until| until > now);
+        is_paused || self.failures.is_avoided(now)
+    }
+
     /// Returns whether the target wants no requests from an instance now.
     pub fn is_quiet(&self, instance: &A, now: Instant) -> bool {
         let end = self.quiet_periods.get(instance);
--- a/crates/decide/tests/permits.rs
+++ b/crates/decide/tests/permits.rs
@@ -333,3 +333,15 @@
     let (total, uniform_total): (f64, f64) = (by_priority.iter().sum(), uniform.iter().sum());
     assert!(total > 0.9 * uniform_total, "{by_priority:?} {uniform:?}");
 }
+
+#[test]
+fn a_pool_tells_how_many_targets_it_avoids_after_failures() {
+    let now = Instant::now();
+    let mut pool: Pool<u8> = Pool::default();
+    pool.update_targets(&pool_targets(&[("a", None), ("b", None)]), now);
+    pool.request_permit((0, 0), permit_request(1, now, 500, 4000), now);
+    assert_eq!(pool.avoided_targets(now), 0);
+    pool.finish_request(&(0, 0), report(PermitOutcome::NotConnected), now);
+    assert_eq!(pool.avoided_targets(now), 1);
+    assert_eq!(pool.avoided_targets(now + millis(1000)), 0);
+}
