test(instance): instances that are cut off from all targets (failing)

Real instances, each with links of its own to every target, which a front of the store for each instance makes it use. Three ways in which links are cut: open connections go silent, are reset, or live on while new ones are refused.

--- /dev/null
+++ b/crates/cowslipcross/tests/instance/cut_off.rs
@@ -0,0 +1,158 @@
+//! Tests of instances that are cut off from all targets while callers, the store and other instances
+//! reach them.
+
+use {
+    crate::deployment::{Deployment, booking_request, lookup_request, removal_request},
+    cowslip_adapter_standins::link::LinkState,
+    futures_util::future::join_all,
+    http::StatusCode,
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+const INSTANCES: usize = 4;
+const SLOTS: u32 = 8;
+const PROCESSING_TIME: Duration = Duration::from_millis(20);
+/// Processing time with which a cut begins while a request is in progress.
+const LONG_TIME: Duration = Duration::from_millis(400);
+/// Time from the begin or the end of a cut until callers have to be served as usual.
+const CONTACT: Duration = Duration::from_secs(3);
+const PRESS_TIME: Duration = Duration::from_secs(4);
+/// Time between two requests to an instance.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Requests that may fail at an instance: this many, and one more of every [`REQUESTS_PER_FAILURE`].
+const MAX_FAILURES: usize = 10;
+const REQUESTS_PER_FAILURE: usize = 50;
+
+async fn start() -> Deployment {
+    Deployment::start_with_links(INSTANCES, 4, SLOTS, PROCESSING_TIME).await
+}
+
+/// Requests that an instance was sent.
+struct Sent {
+    total: usize,
+    failed: usize,
+}
+
+/// Sends requests of all kinds to an instance.
+async fn press(deployment: &Deployment, index: usize, when: &str) -> Sent {
+    let instance = &deployment.instances[index];
+    let count = PRESS_TIME.as_millis() / PAUSE.as_millis();
+    let sent = (0..count as u32).map(|number| async move {
+        sleep(PAUSE * number).await;
+        let id = format!("{when}-{index}-{number}");
+        let key = u64::from(number) * 997 % 65_536;
+        let request = match number % 3 {
+            0 => lookup_request(&id, key),
+            1 => removal_request(&id, key),
+            _ => booking_request(&id),
+        };
+        let response = instance.send(request).await;
+        response.is_some_and(|it| it.status == StatusCode::OK)
+    });
+    let served = join_all(sent).await;
+    Sent {
+        total: served.len(),
+        failed: served.iter().filter(|it| !**it).count(),
+    }
+}
+
+/// Presses all instances at once and checks that few requests fail at each of them.
+async fn check_service(deployment: &Deployment, when: &str) {
+    let all = (0..INSTANCES).map(|index| press(deployment, index, when));
+    let all = join_all(all).await;
+    let is_served = |it: &Sent| it.failed <= MAX_FAILURES + it.total / REQUESTS_PER_FAILURE;
+    let failed: Vec<String> = all
+        .iter()
+        .map(|it| format!("{} of {}", it.failed, it.total))
+        .collect();
+    assert!(
+        all.iter().all(is_served),
+        "{when} the cut failed at i0, i1 ...: {failed:?}"
+    );
+}
+
+fn set_links(deployment: &Deployment, instances: &[usize], state: LinkState) {
+    for index in instances {
+        deployment.set_links(*index, state);
+    }
+}
+
+/// Cuts instances off from all targets and checks the service during the cut and after it.
+async fn check_cut(deployment: &Deployment, cut_off: &[usize], state: LinkState) {
+    set_links(deployment, cut_off, state);
+    let pressed = (0..INSTANCES).map(|index| press(deployment, index, "begin"));
+    join_all(pressed).await;
+    check_service(deployment, "during").await;
+    set_links(deployment, cut_off, LinkState::Up);
+    sleep(CONTACT).await;
+    check_service(deployment, "after").await;
+}
+
+/// Returns the instances that do not lead, all but the last of them.
+async fn most_followers(deployment: &Deployment) -> Vec<usize> {
+    let leader = deployment.find_leader().await;
+    let mut followers: Vec<usize> = (0..INSTANCES).filter(|it| *it != leader).collect();
+    followers.pop();
+    followers
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known red, issue 28"]
+async fn instances_whose_links_to_all_targets_hang_serve_their_callers() {
+    let deployment = start().await;
+    let cut_off = most_followers(&deployment).await;
+    // Connections are open when the cut begins.
+    check_service(&deployment, "before").await;
+    check_cut(&deployment, &cut_off, LinkState::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known red, issue 28"]
+async fn instances_whose_links_to_all_targets_are_reset_serve_their_callers() {
+    let deployment = start().await;
+    let cut_off = most_followers(&deployment).await;
+    check_service(&deployment, "before").await;
+    check_cut(&deployment, &cut_off, LinkState::Reset).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known red, issue 28"]
+async fn instances_that_open_no_new_connections_to_targets_serve_their_callers() {
+    let deployment = start().await;
+    let cut_off = most_followers(&deployment).await;
+    check_cut(&deployment, &cut_off, LinkState::RefusesNew).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known red, issue 28"]
+async fn keys_keep_owners_while_the_leader_is_cut_off_from_all_targets() {
+    let deployment = start().await;
+    let leader = deployment.find_leader().await;
+    check_cut(&deployment, &[leader], LinkState::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known red, issue 28"]
+async fn a_cut_of_links_is_not_taken_for_targets_that_end() {
+    let deployment = Deployment::start_with_links(INSTANCES, 4, SLOTS, LONG_TIME).await;
+    let cut_off = most_followers(&deployment).await;
+    for round in 0..3 {
+        let requests = cut_off.iter().map(|index| {
+            let instance = &deployment.instances[*index];
+            instance.send(booking_request(&format!("{index}-{round}")))
+        });
+        let cut = async {
+            sleep(LONG_TIME / 2).await;
+            set_links(&deployment, &cut_off, LinkState::Reset);
+        };
+        let _ = tokio::join!(join_all(requests), cut);
+        set_links(&deployment, &cut_off, LinkState::Up);
+        sleep(CONTACT).await;
+    }
+    for instance in &deployment.instances {
+        let log = instance.log();
+        let is_wrong = |line: &&str| line.contains("CC0511") || line.contains("CC0512");
+        assert_eq!(log.lines().find(is_wrong), None);
+    }
+}
--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -4,8 +4,10 @@
     bytes::Bytes,
     cowslip_adapter_standins::{
         config::build_config,
+        link::{Link, LinkState},
         ports,
         store::FakeStore,
+        store_view::StoreView,
         target::{FakeTarget, TargetOptions},
     },
     http::{HeaderMap, Request, StatusCode},
@@ -13,6 +15,7 @@
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
     std::{
+        collections::BTreeMap,
         fs::{self, File},
         net::SocketAddr,
         path::PathBuf,
@@ -64,6 +67,15 @@
     pub crews: Vec<FakeTarget>,
     /// Instances.
     pub instances: Vec<Instance>,
+    /// Links of each instance; empty if they connect to the targets themselves.
+    links: Vec<InstanceLinks>,
+}
+
+/// An instance's links to all targets.
+struct InstanceLinks {
+    links: BTreeMap<String, Link>,
+    /// Front of the store that names the links as the addresses of the targets.
+    view: StoreView,
 }
 
 impl Drop for Instance {
@@ -74,8 +86,7 @@
         let _ = fs::remove_file(&self.settings_file);
         // The log helps to explain a failed test.
         if thread::panicking() {
-            let log = fs::read_to_string(&self.log_file).unwrap_or_default();
-            eprintln!("log of {}:\n{log}", self.callers);
+            eprintln!("log of {}:\n{}", self.callers, self.log());
         }
         let _ = fs::remove_file(&self.log_file);
     }
@@ -165,6 +176,11 @@
         exchange(self.operators, request).await.expect("a page")
     }
 
+    /// Returns the log so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log_file).unwrap_or_default()
+    }
+
     /// Sends a request; `None` if the connection ended without a response.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Option<InstanceResponse> {
         exchange(self.callers, request).await
@@ -179,6 +195,54 @@
         slots: u32,
         processing_time: Duration,
     ) -> Self {
+        let mut deployment = Self::start_targets(boards, slots, processing_time).await;
+        for index in 0..instances {
+            let instance = Instance::start(&format!("i{index}"), deployment.store.address());
+            deployment.instances.push(instance);
+        }
+        deployment.wait_until_ready().await;
+        deployment
+    }
+
+    /// Like [`Self::start`], with links between each instance and each target that can be cut.
+    pub async fn start_with_links(
+        instances: usize,
+        boards: usize,
+        slots: u32,
+        processing_time: Duration,
+    ) -> Self {
+        let mut deployment = Self::start_targets(boards, slots, processing_time).await;
+        for index in 0..instances {
+            let links = deployment.open_links().await;
+            let instance = Instance::start(&format!("i{index}"), links.view.address());
+            deployment.instances.push(instance);
+            deployment.links.push(links);
+        }
+        deployment.wait_until_ready().await;
+        deployment
+    }
+
+    /// Sets the state of all links of an instance.
+    pub fn set_links(&self, instance: usize, state: LinkState) {
+        let links = self.links[instance].links.values();
+        links.for_each(|link| link.set_state(state));
+    }
+
+    async fn open_links(&self) -> InstanceLinks {
+        let boards = self.boards.iter().enumerate();
+        let boards = boards.map(|(index, target)| (format!("b{index}"), target));
+        let crews = self.crews.iter().enumerate();
+        let crews = crews.map(|(index, target)| (format!("c{index}"), target));
+        let links = boards
+            .chain(crews)
+            .map(|(id, target)| (id, Link::start(target.address())));
+        let links: BTreeMap<String, Link> = links.collect();
+        let addresses = links.iter().map(|(id, link)| (id.clone(), link.address));
+        let view = StoreView::start(&self.store, addresses.collect()).await;
+        InstanceLinks { links, view }
+    }
+
+    async fn start_targets(boards: usize, slots: u32, processing_time: Duration) -> Self {
         let store = FakeStore::start().await;
         store.put("op", "config", build_config("r5", "boards").as_bytes());
         let mut deployment = Self {
@@ -186,6 +250,7 @@
             boards: Vec::new(),
             crews: Vec::new(),
             instances: Vec::new(),
+            links: Vec::new(),
         };
         for index in 0..boards {
             let options =
@@ -199,11 +264,6 @@
         }
         let all = deployment.boards.iter().chain(&deployment.crews);
         all.for_each(|target| target.publish_report(&deployment.store, "ready"));
-        for index in 0..instances {
-            let instance = Instance::start(&format!("i{index}"), deployment.store.address());
-            deployment.instances.push(instance);
-        }
-        deployment.wait_until_ready().await;
         deployment
     }
 
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of instances that run as processes on loopback.
 
 mod crashing_requests;
+mod cut_off;
 mod deployment;
 mod faulty_targets;
 mod limited_targets;
