fix(serve): a target that is reached after its reported end counts as ended no more

Change: an attempt that began after the end was recorded, and that the target answered, refutes it. The message is a new variant at the end; builds without it drop it.

--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -1,7 +1,8 @@
 //! Messages between instances.
 //!
 //! The order of variants and fields is that on the wire: messages are encoded without names to keep
-//! them short, as every request asks for a permit. Any change of it needs another [`FORMAT`].
+//! them short, as every request asks for a permit. Any change of it needs another [`FORMAT`], except for a
+//! variant at the end, which builds without it drop as malformed.
 
 use {
     crate::{
@@ -94,6 +95,9 @@
         /// What the target has said of itself in its response.
         notice: Option<WireNotice>,
     },
+    /// From an instance to the leader: it has reached targets that counted as ended. Builds without this
+    /// variant drop it.
+    TargetsReached(Vec<WireTarget>),
 }
 
 impl Message {
@@ -176,6 +180,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireCrash(Fingerprint, Fingerprint, Name, u64);
 
+/// Id and incarnation of a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireTarget(Name, u64);
+
 /// Fingerprint of a blocked request, and milliseconds for which it stays blocked.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireBlock(Fingerprint, u64);
@@ -267,6 +275,19 @@
     }
 }
 
+impl From<&TargetIncarnation> for WireTarget {
+    fn from(target: &TargetIncarnation) -> Self {
+        Self(target.id.clone(), target.incarnation)
+    }
+}
+
+impl From<WireTarget> for TargetIncarnation {
+    fn from(wire: WireTarget) -> Self {
+        let WireTarget(id, incarnation) = wire;
+        Self { id, incarnation }
+    }
+}
+
 impl From<(Fingerprint, Duration)> for WireBlock {
     fn from((request, time): (Fingerprint, Duration)) -> Self {
         Self(request, time.as_millis() as u64)
--- a/crates/cowslipcross/src/serve/crashing_requests.rs
+++ b/crates/cowslipcross/src/serve/crashing_requests.rs
@@ -8,10 +8,10 @@
 use {
     crate::{
         context::Context,
-        events::{self, EventCode},
+        events::{self, EventCode, EventFields},
         peers::{
             datagram,
-            message::{Message, WireBlock, WireCrash},
+            message::{Message, WireBlock, WireCrash, WireTarget},
         },
         serve::{fingerprints::Fingerprints, request::CallerRequest},
     },
@@ -166,6 +166,56 @@
     }
 }
 
+/// Records that a target was reached on an attempt that began at `from`: if its end was recorded before, it
+/// has not ended, and the leader is told.
+pub fn record_reached(context: &Context, target: &TargetIncarnation, from: Instant) {
+    let is_refuted = |known: &CrashingRequests| known.log.is_refuted(target, from);
+    if is_refuted(&context.crashing_requests.borrow()) {
+        refute(context, target);
+        let wire = WireTarget::from(target);
+        tell_leader(context, &Message::TargetsReached(vec![wire]));
+    }
+}
+
+/// Applies that another instance has reached targets that counted as ended.
+pub fn handle_reached(context: &Context, targets: Vec<WireTarget>) {
+    for wire in targets {
+        refute(context, &wire.into());
+    }
+}
+
+/// Forgets the end of a target. Only the leader knows all ends, so that only the leader lifts blocks because
+/// of it; its heartbeats tell the others.
+fn refute(context: &Context, target: &TargetIncarnation) {
+    let mut known = context.crashing_requests.borrow_mut();
+    known
+        .own_crashes
+        .retain(|(crash, _)| crash.target != *target);
+    let doubtful = known.log.refute(target);
+    drop(known);
+    let fields = EventFields {
+        target: Some(target.id.clone()),
+        detail: Some("reached since".into()),
+        ..EventFields::default()
+    };
+    context.events.record(events::END_REFUTED, fields);
+    if context.is_leader() {
+        doubtful
+            .into_iter()
+            .for_each(|request| unblock(context, request));
+    }
+}
+
+/// Lifts a block as leader.
+fn unblock(context: &Context, request: Fingerprint) {
+    let mut known = context.crashing_requests.borrow_mut();
+    known.log.unblock(request);
+    known.add_change(request, BlockState::Lifted, Instant::now());
+    drop(known);
+    record_event(context, events::BLOCK_LIFTED, request);
+    context.leader_work.notify_one();
+}
+
 /// Applies what another instance tells of targets that have ended.
 pub fn handle_crashes(context: &Context, crashes: Vec<WireCrash>) {
     for wire in crashes {
--- a/crates/decide/src/crashes.rs
+++ b/crates/decide/src/crashes.rs
@@ -3,13 +3,14 @@
 //! A request that crashes each target that runs it comes again, from its caller and from instances that
 //! retry. Each instance reports the targets that have ended under its requests to the leader; the leader
 //! and each instance block a request under which several targets have ended. A request that was merely
-//! in progress when a target ended is served elsewhere, which lifts a block on it.
+//! in progress when a target ended is served elsewhere, which lifts a block on it. A target that is reached
+//! after its end was reported has not ended: the report counts no more.
 
 use {
     crate::owners::TargetIncarnation,
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
+        collections::{BTreeMap, VecDeque},
         fmt,
         time::Duration,
     },
@@ -64,7 +65,8 @@
 /// A request under which a target has ended.
 #[derive(Debug)]
 struct Suspect {
-    targets: BTreeSet<TargetIncarnation>,
+    /// Targets that have ended under it, and when that was recorded.
+    targets: BTreeMap<TargetIncarnation, Instant>,
     /// When a target last ended under the request.
     last_crash: Instant,
     blocked_until: Option<Instant>,
@@ -73,7 +75,7 @@
 impl Suspect {
     fn new(now: Instant) -> Self {
         Self {
-            targets: BTreeSet::new(),
+            targets: BTreeMap::new(),
             last_crash: now,
             blocked_until: None,
         }
@@ -93,9 +95,10 @@
             .suspects
             .entry(request)
             .or_insert_with(|| Suspect::new(now));
-        if !suspect.targets.insert(target) {
+        if suspect.targets.contains_key(&target) {
             return BlockChange::None;
         }
+        suspect.targets.insert(target, now);
         suspect.last_crash = now;
         match suspect.targets.len() >= MAX_CRASHES {
             true => self.block(request, BLOCK_TIME, now),
@@ -142,6 +145,33 @@
         self.lift(request)
     }
 
+    /// Returns whether a target counts as ended although it was reached on an attempt that began at `from`.
+    pub fn is_refuted(&self, target: &TargetIncarnation, from: Instant) -> bool {
+        let mut all = self.suspects.values();
+        all.any(|it| it.targets.get(target).is_some_and(|at| *at < from))
+    }
+
+    /// Records that a target has not ended; returns the blocked requests under which too few targets have
+    /// ended now, as far as this instance knows.
+    pub fn refute(&mut self, target: &TargetIncarnation) -> Vec<Fingerprint> {
+        let mut doubtful = Vec::new();
+        self.suspects.retain(|request, it| {
+            let is_affected = it.targets.remove(target).is_some();
+            if is_affected && it.targets.len() < MAX_CRASHES && it.blocked_until.is_some() {
+                doubtful.push(*request);
+            }
+            !it.targets.is_empty() || it.blocked_until.is_some()
+        });
+        doubtful
+    }
+
+    /// Ends the block on a request; the targets that have ended under it still count.
+    pub fn unblock(&mut self, request: Fingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.blocked_until = None;
+        }
+    }
+
     /// Ends the block on a request and forgets the targets that have ended under it; returns whether
     /// there were any.
     pub fn lift(&mut self, request: Fingerprint) -> bool {
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -119,3 +119,44 @@
         "{blocked_at:?}"
     );
 }
+
+#[test]
+fn a_target_that_is_reached_after_its_reported_end_has_not_ended() {
+    let start = Instant::now();
+    let mut log = CrashLog::default();
+    let (first, second) = (target("a", 1), target("b", 1));
+    log.record_crash(REQUEST, first.clone(), start);
+    assert_eq!(
+        log.record_crash(REQUEST, second.clone(), start),
+        BlockChange::Blocked
+    );
+    // An attempt from before the end proves nothing, nor does another incarnation.
+    assert!(!log.is_refuted(&first, start));
+    let later = start + seconds(1);
+    assert!(!log.is_refuted(&target("a", 2), later));
+    assert!(log.is_refuted(&first, later));
+    assert_eq!(log.refute(&first), [REQUEST]);
+    log.unblock(REQUEST);
+    assert_eq!(log.remaining_block(REQUEST, later), None);
+    // The other end still counts.
+    assert!(log.is_refuted(&second, later));
+    assert_eq!(
+        log.record_crash(REQUEST, target("c", 1), later),
+        BlockChange::Blocked
+    );
+}
+
+#[test]
+fn a_block_stays_while_enough_targets_have_ended() {
+    let start = Instant::now();
+    let mut log = CrashLog::default();
+    for id in ["a", "b", "c"] {
+        log.record_crash(REQUEST, target(id, 1), start);
+    }
+    assert!(log.refute(&target("a", 1)).is_empty());
+    assert!(log.remaining_block(REQUEST, start).is_some());
+    // A block that another instance has announced is not this one's to lift without an end of its own.
+    log.block(Fingerprint(8), seconds(100), start);
+    assert!(log.refute(&target("z", 1)).is_empty());
+    assert!(log.remaining_block(Fingerprint(8), start).is_some());
+}
