test(soak): instances are cut off from all targets (--cuts)

Each instance has links of its own to the targets; one to all but one of them are cut at a time: silent, reset, or refusing new connections, in series and overlapping with the other faults. The draws of other seeds stay as they were.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -4,11 +4,13 @@
     crate::{
         history::{EventKind, History},
         instance::Instance,
+        links::InstanceLinks,
         proxy::ProxyMode,
         targets::{DATA_CENTRES, ProxiedTarget},
     },
     cowslip_adapter_standins::{
         config::build_config,
+        link::LinkState,
         store::{self, FakeStore},
         target,
     },
@@ -46,6 +48,8 @@
     pub targets: Vec<Mutex<ProxiedTarget>>,
     /// Instances; a fault of an instance's process holds its lock.
     pub instances: Vec<Mutex<Instance>>,
+    /// Links of each instance to the targets; empty if none are cut.
+    pub links: Vec<InstanceLinks>,
     /// History of the run.
     pub history: History,
     /// One lock a data centre: its withdrawals run one after another, as the end of one would
@@ -91,6 +95,8 @@
     AnnounceStop(usize),
     /// A target refuses requests and asks for quiet.
     AskForQuiet(usize),
+    /// This number of instances, from the first one of these on, are cut off from all targets.
+    CutLinks(usize, usize, LinkState),
     /// A target names a limit of so many requests a second.
     NameLimit(usize, u32),
 }
@@ -115,6 +121,18 @@
     (Fault::NameLimit(target, rate), duration)
 }
 
+/// Draws a cut of the links of some instances, but not all of them, to all targets, and its duration.
+pub fn draw_cut(random: &mut StdRng, instance_count: usize) -> (Fault, Duration) {
+    let state = [LinkState::Silent, LinkState::Reset, LinkState::RefusesNew];
+    let fault = Fault::CutLinks(
+        random.random_range(0..instance_count),
+        random.random_range(1..instance_count.max(2)),
+        state[random.random_range(0..3)],
+    );
+    let duration = Duration::from_millis(random.random_range(1000..8000));
+    (fault, duration)
+}
+
 /// Draws a fault and its duration.
 pub fn draw_fault(
     random: &mut StdRng,
@@ -215,6 +233,12 @@
             sleep(duration).await;
             proxied.set_mode(target::TargetMode::Normal);
         }
+        Fault::CutLinks(first, count, state) => {
+            let links = deployment.links.iter().cycle().skip(first).take(count);
+            links.clone().for_each(|it| it.set_state(state));
+            sleep(duration).await;
+            links.for_each(|it| it.set_state(LinkState::Up));
+        }
         Fault::CrashTarget(index) => crash_target(&deployment, index, duration).await,
         Fault::DrainTarget(index) => drain_target(&deployment, index, duration).await,
         Fault::PauseInstance(index) => {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod history;
 pub mod instance;
 mod limits;
+pub mod links;
 mod notices;
 pub mod proxy;
 pub mod run;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -37,6 +37,7 @@
             instance_count: number("instances") as usize,
             drills: matches.get_flag("drills"),
             limits: matches.get_flag("limits"),
+            cuts: matches.get_flag("cuts"),
         };
         match runtime.block_on(run::run_deployment(&options)) {
             Ok(report) if report.violations.is_empty() => {
@@ -111,6 +112,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also let targets name limits on the requests of all instances together"),
         )
+        .arg(
+            Arg::new("cuts")
+                .long("cuts")
+                .action(ArgAction::SetTrue)
+                .help("Also cut instances off from all targets"),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,12 +5,13 @@
         Result,
         callers::{self, InstanceAddresses},
         faults::{
-            Deployment, Fault, draw_drill, draw_fault, draw_limit, inject_fault,
+            Deployment, Fault, draw_cut, draw_drill, draw_fault, draw_limit, inject_fault,
             publish_next_config,
         },
         guarantees,
         history::{History, HistoryData, Outcome},
         instance::Instance,
+        links::InstanceLinks,
         targets::{DATA_CENTRES, ProxiedTarget, REPORT_INTERVAL},
     },
     cowslip_adapter_standins::{observer::TargetObserver, store::FakeStore},
@@ -48,6 +49,8 @@
 const DRILL_SHARE: f64 = 0.3;
 /// Limits that targets name for each fault, if they do.
 const LIMIT_SHARE: f64 = 0.3;
+/// Cuts of links for each fault, if they are played.
+const CUT_SHARE: f64 = 0.3;
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -67,6 +70,8 @@
     pub drills: bool,
     /// Whether targets also name limits.
     pub limits: bool,
+    /// Whether instances are also cut off from all targets.
+    pub cuts: bool,
 }
 
 /// Result of a run.
@@ -130,10 +135,14 @@
             targets.push(Mutex::new(target));
         }
     }
-    let mut instances = Vec::new();
+    let (mut instances, mut links) = (Vec::new(), Vec::new());
     for number in 0..options.instance_count {
         let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
-        let (name, store_address) = (format!("i{number}"), store.address());
+        if options.cuts {
+            links.push(InstanceLinks::open(&store, &targets).await);
+        }
+        let view = links.last().map(InstanceLinks::store_address);
+        let (name, store_address) = (format!("i{number}"), view.unwrap_or(store.address()));
         let paths = (
             options.program_path.as_path(),
             options.work_directory.as_path(),
@@ -145,6 +154,7 @@
         store,
         targets,
         instances,
+        links,
         history: History::default(),
         withdrawal_locks: Default::default(),
         config_state: Mutex::default(),
@@ -186,6 +196,7 @@
     // Drills do not change the other faults of a seed.
     let mut drill_random = StdRng::seed_from_u64(!options.seed);
     let mut limit_random = StdRng::seed_from_u64(options.seed.rotate_left(32));
+    let mut cut_random = StdRng::seed_from_u64(options.seed.rotate_left(16));
     let end = Instant::now() + options.fault_time;
     let (mut active, mut faults) = (JoinSet::new(), Vec::new());
     while Instant::now() < end {
@@ -203,6 +214,11 @@
             faults.push(limit);
             active.spawn(inject_fault(deployment.clone(), limit, duration));
         }
+        if options.cuts && cut_random.random_bool(CUT_SHARE) {
+            let (cut, duration) = draw_cut(&mut cut_random, options.instance_count);
+            faults.push(cut);
+            active.spawn(inject_fault(deployment.clone(), cut, duration));
+        }
     }
     while let Some(result) = active.join_next().await {
         if let Err(error) = result {
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -45,6 +45,9 @@
 /// Seed and seconds of the short run with drills in which targets also name limits.
 const LIMIT_RUN: (u64, u64) = (9_300, 16);
 
+/// Seed and seconds of the short run in which instances are cut off from all targets.
+const CUT_RUN: (u64, u64) = (10_003, 14);
+
 /// Prefix of the violations listed in KNOWN-RED.txt: they are printed and do not fail the test.
 const KNOWN_VIOLATION: &str = "FAILBACK:";
 
@@ -53,11 +56,13 @@
 struct FurtherFaults {
     drills: bool,
     limits: bool,
+    cuts: bool,
 }
 
 const NO_FURTHER: FurtherFaults = FurtherFaults {
     drills: false,
     limits: false,
+    cuts: false,
 };
 const DRILLS: FurtherFaults = FurtherFaults {
     drills: true,
@@ -65,8 +70,13 @@
 };
 const DRILLS_AND_LIMITS: FurtherFaults = FurtherFaults {
     limits: true,
+    cuts: false,
     ..DRILLS
 };
+const CUTS: FurtherFaults = FurtherFaults {
+    cuts: true,
+    ..NO_FURTHER
+};
 
 async fn check_guarantees(seed: u64, seconds: u64, further: FurtherFaults) {
     let options = RunOptions {
@@ -77,6 +87,7 @@
         instance_count: 4,
         drills: further.drills,
         limits: further.limits,
+        cuts: further.cuts,
     };
     let report = run::run_deployment(&options)
         .await
@@ -120,6 +131,11 @@
     check_guarantees(LIMIT_RUN.0, LIMIT_RUN.1, DRILLS_AND_LIMITS).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_while_instances_are_cut_off_from_targets() {
+    check_guarantees(CUT_RUN.0, CUT_RUN.1, CUTS).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_that_failed_once_pass() {
     let runs = FAILED_RUNS
