fix(serve): instances answer others that are not members yet, in place of closing the connection

Found by reading: an instance that has just started is not in the others' membership for up to a second; a closed connection means 'may have run', so that its requests would have failed with 502 although nothing was sent. Now the reply says that nothing was sent. Tests: membership by address; a stop of an instance that passes requests on; a caller that leaves; at most once and 'not run' in all tests of cuts.

--- a/crates/cowslipcross/src/peers/membership.rs
+++ b/crates/cowslipcross/src/peers/membership.rs
@@ -4,7 +4,7 @@
     base64::{Engine, prelude::BASE64_STANDARD_NO_PAD},
     std::{
         cmp::Reverse,
-        net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+        net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
     },
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -73,6 +73,11 @@
         best.map(|member| member.address)
     }
 
+    /// Returns whether a member has this IP address.
+    pub fn has_member(&self, address: IpAddr) -> bool {
+        self.members.iter().any(|it| it.address.ip() == address)
+    }
+
     /// Returns the position of a member by descending weight, from 0; `None` if the address is not a
     /// member's.
     pub fn position(&self, address: SocketAddr) -> Option<usize> {
--- a/crates/cowslipcross/src/peers/membership_tests.rs
+++ b/crates/cowslipcross/src/peers/membership_tests.rs
@@ -93,3 +93,13 @@
         None
     );
 }
+
+#[test]
+fn only_addresses_of_members_are_let_in() {
+    let membership = membership(&[20, 20]);
+    for (number, is_member) in [(1, true), (2, true), (3, false)] {
+        let address = member(number, 20).address.ip();
+        assert_eq!(membership.has_member(address), is_member, "{address}");
+    }
+    assert!(!Membership::default().has_member(member(1, 20).address.ip()));
+}
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -19,7 +19,7 @@
     http::{HeaderMap, HeaderValue, Response, StatusCode, header, request::Parts},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::TokioIo,
+    hyper_util::rt::{TokioIo, TokioTimer},
     std::{fmt, net::IpAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -33,6 +33,9 @@
 /// Time without acknowledgement of sent data after which TCP closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time after which an idle connection is closed, longer than instances keep one for reuse.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Makes hyper close the connection without a response: the request may have run.
 #[derive(Debug)]
 struct NoResponse;
@@ -52,33 +55,27 @@
     connections: Rc<TargetConnections>,
 }
 
-/// Accepts connections of other members; never returns.
+/// Accepts connections of other instances; never returns.
 pub async fn accept_instances(context: Rc<Context>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, from)) if is_member(&context, from.ip()) => {
-                spawn_local(serve_instance(context.clone(), stream));
+            Ok((stream, from)) => {
+                spawn_local(serve_instance(context.clone(), stream, from.ip()));
             }
-            // Only instances are let in.
-            Ok(_) => {}
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
-fn is_member(context: &Context, address: IpAddr) -> bool {
-    let membership = context.membership.borrow();
-    let mut members = membership.members().iter();
-    members.any(|it| it.address.ip() == address)
-}
-
-async fn serve_instance(context: Rc<Context>, stream: TcpStream) {
+async fn serve_instance(context: Rc<Context>, stream: TcpStream, from: IpAddr) {
     // The connection also works without these options.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let service = service_fn(|request| handle_request(context.clone(), request));
+    let service = service_fn(|request| handle_request(context.clone(), request, from));
     // The instance that asks sees an error of the connection, too.
     let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
@@ -86,12 +83,17 @@
 async fn handle_request(
     context: Rc<Context>,
     request: http::Request<Incoming>,
+    from: IpAddr,
 ) -> Result<Response<Full<Bytes>>, NoResponse> {
     let _active = CounterGuard::new(&context.active_requests);
     let (mut parts, body) = request.into_parts();
     let relay = relay_headers::take_request(&mut parts.headers);
     let mut response = match relay {
         None => empty_response(StatusCode::BAD_REQUEST),
+        // Only instances are let in.
+        Some(_) if !context.membership.borrow().has_member(from) => {
+            reply_response(&RelayReply::Denied)
+        }
         Some(relay) => match find_recipient(&context, &parts.headers, relay) {
             Err(reply) => reply_response(&reply),
             Ok(recipient) => match relay.task {
--- a/crates/cowslipcross/tests/instance/cut_off.rs
+++ b/crates/cowslipcross/tests/instance/cut_off.rs
@@ -7,7 +7,7 @@
     futures_util::future::join_all,
     http::StatusCode,
     std::time::Duration,
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 const INSTANCES: usize = 4;
@@ -48,7 +48,9 @@
             _ => booking_request(&id),
         };
         let response = instance.send(request).await;
-        response.is_some_and(|it| it.status == StatusCode::OK)
+        let status = response.map(|it| it.status);
+        check_executions(deployment, &id, number % 3 == 0, status);
+        status == Some(StatusCode::OK)
     });
     let served = join_all(sent).await;
     Sent {
@@ -57,6 +59,22 @@
     }
 }
 
+/// Checks that a request that must not run twice did not, and that one that was refused did not run.
+fn check_executions(
+    deployment: &Deployment,
+    id: &str,
+    is_idempotent: bool,
+    status: Option<StatusCode>,
+) {
+    let count = deployment.count_executions(id);
+    let limit = match status {
+        _ if is_idempotent => u32::MAX,
+        Some(StatusCode::SERVICE_UNAVAILABLE) => 0,
+        _ => 1,
+    };
+    assert!(count <= limit, "{id} ran {count} times, {status:?}");
+}
+
 /// Presses all instances at once and checks that few requests fail at each of them.
 async fn check_service(deployment: &Deployment, when: &str) {
     let all = (0..INSTANCES).map(|index| press(deployment, index, when));
@@ -151,3 +169,33 @@
         assert_eq!(log.lines().find(is_wrong), None);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_stops_finishes_the_requests_that_it_passes_on() {
+    let mut deployment = Deployment::start_with_links(INSTANCES, 4, SLOTS, LONG_TIME).await;
+    let leader = deployment.find_leader().await;
+    let (cut_off, stopping) = ((leader + 1) % INSTANCES, (leader + 2) % INSTANCES);
+    deployment.set_links(cut_off, LinkState::Silent);
+    press(&deployment, cut_off, "begin").await;
+    deployment.instances[stopping].signal("TERM");
+    let Sent { total, failed } = press(&deployment, cut_off, "during").await;
+    assert_eq!(failed, 0, "of {total}");
+    let exit_code = deployment.instances[stopping].wait_for_exit().await;
+    assert_eq!(exit_code, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_its_request_at_the_target_of_another_instance() {
+    let deployment = Deployment::start_with_links(2, 4, SLOTS, 10 * LONG_TIME).await;
+    let leader = deployment.find_leader().await;
+    let cut_off = 1 - leader;
+    deployment.set_links(cut_off, LinkState::RefusesNew);
+    let instance = &deployment.instances[cut_off];
+    // Dropping the future closes the connection.
+    let left = timeout(LONG_TIME, instance.send(lookup_request("left", 7))).await;
+    assert!(left.is_err());
+    let in_flight = || deployment.boards.iter().map(|it| it.in_flight_requests());
+    sleep(LONG_TIME).await;
+    assert_eq!(in_flight().sum::<u32>(), 0);
+    assert_eq!(deployment.count_executions("left"), 1);
+}
