--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -102,7 +102,7 @@
     pub bypass: Cell<Option<Bypass>>,
     /// Whether it is being found out if the target can be reached.
     pub is_checked: Cell<bool>,
-    /// End of the time for which no instance is asked to pass on requests to the target.
+    /// End of the time for which no instance is asked whether it reaches the target.
     pub relay_pause: Cell<Option<Instant>>,
     /// Data centre of an instance that passes requests on; `None` until it has told.
     pub data_centre: RefCell<Option<Name>>,
--- a/crates/cowslipcross/src/serve/target_path.rs
+++ b/crates/cowslipcross/src/serve/target_path.rs
@@ -23,15 +23,17 @@
     tokio::{task::spawn_local, time::Instant},
 };
 
-/// Instances that are asked for one request at most.
+/// Instances that are asked to pass on one request at most.
 const MAX_RELAYS: usize = 3;
 /// Connections to an instance that passes requests on.
 const MAX_RELAY_CONNECTIONS: u32 = 256;
 /// Time from one attempt to connect to a target on the own path to the next, while other instances pass
 /// requests on.
 const OWN_PATH_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which no instance is asked to pass on requests to a target that none of them reached.
+/// Time for which no instance is asked again to reach a target that none of those asked reached.
 const RELAY_PAUSE: Duration = Duration::from_millis(300);
+/// [`RELAY_PAUSE`] if all found that nothing listens at the target's address.
+const ENDED_PAUSE: Duration = Duration::from_secs(1);
 /// Time within which an instance has to tell whether it reaches a target.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -56,24 +58,17 @@
     request: TargetRequest<'_>,
     max_connections: u32,
 ) -> ExchangeOutcome {
-    let is_own = uses_own_path(context, connections);
-    if is_own {
+    if uses_own_path(context, connections) {
         let outcome = send_directly(context, connections, target, request, max_connections).await;
-        if !is_unreachable(&outcome) {
+        if !is_unreachable(&outcome) || !is_reached_by_others(context, connections, target).await {
             return outcome;
         }
+        record_bypassed(context, connections, target);
     } else {
         retry_own_path(context, connections);
     }
-    match send_through_others(context, connections, target, request).await {
-        Some(outcome) => {
-            if is_own {
-                record_bypassed(context, connections, target);
-            }
-            outcome
-        }
-        None => ExchangeOutcome::Unsent(ConnectError::Failed),
-    }
+    let outcome = send_through_others(context, connections, target, request).await;
+    outcome.unwrap_or(ExchangeOutcome::Unsent(ConnectError::Failed))
 }
 
 /// Sends a request to a target on the own path.
@@ -112,20 +107,14 @@
         record_opened(context);
         return TargetLife::Reached;
     }
-    let (mut asked, mut confirmed) = (0, 0);
-    for instance in candidates(context, target).into_iter().take(MAX_RELAYS) {
-        match ask_for_check(context, connections, target, instance).await {
-            Some(RelayReply::TargetReached) => {
-                record_bypassed(context, connections, target);
-                return TargetLife::ReachedByOthers;
-            }
-            Some(RelayReply::TargetClosed) => (asked, confirmed) = (asked + 1, confirmed + 1),
-            Some(_) => asked += 1,
-            None => {}
-        }
+    let replies = ask_others(context, connections, target).await;
+    if replies.contains(&RelayReply::TargetReached) {
+        record_bypassed(context, connections, target);
+        return TargetLife::ReachedByOthers;
     }
+    let confirmed = count_closed(&replies);
     let is_closed = own == Err(ConnectError::Closed);
-    let is_alone = asked == 0 && !context.reach.borrow().is_lost();
+    let is_alone = replies.is_empty() && !context.reach.borrow().is_lost();
     match confirmed >= 2 || is_closed && (confirmed == 1 || is_alone) {
         true => TargetLife::Ended(confirmed),
         false => TargetLife::Unknown,
@@ -177,6 +166,32 @@
     });
 }
 
+/// Returns whether another instance can connect to a target that this one could not connect to. If none
+/// can, none is asked for some time.
+async fn is_reached_by_others(
+    context: &Context,
+    connections: &TargetConnections,
+    target: &TargetIncarnation,
+) -> bool {
+    let is_paused = |until: Instant| until > Instant::now();
+    if connections.relay_pause.get().is_some_and(is_paused) {
+        return false;
+    }
+    let replies = ask_others(context, connections, target).await;
+    let is_reached = replies.contains(&RelayReply::TargetReached);
+    if !is_reached {
+        let is_certain = !replies.is_empty() && count_closed(&replies) as usize == replies.len();
+        let pause = if is_certain { ENDED_PAUSE } else { RELAY_PAUSE };
+        connections.relay_pause.set(Some(Instant::now() + pause));
+    }
+    is_reached
+}
+
+fn count_closed(replies: &[RelayReply]) -> u32 {
+    let closed = replies.iter().filter(|it| **it == RelayReply::TargetClosed);
+    closed.count() as u32
+}
+
 /// Asks other instances to pass a request on; returns `None` if none of them sent it.
 async fn send_through_others(
     context: &Context,
@@ -184,10 +199,6 @@
     target: &TargetIncarnation,
     request: TargetRequest<'_>,
 ) -> Option<ExchangeOutcome> {
-    let is_paused = |until: Instant| until > Instant::now();
-    if connections.relay_pause.get().is_some_and(is_paused) {
-        return None;
-    }
     let task = match request.idempotent {
         true => RelayTask::SendIdempotent,
         false => RelayTask::SendOnce,
@@ -204,11 +215,27 @@
             return None;
         }
     }
-    let pause_end = Instant::now() + RELAY_PAUSE;
-    connections.relay_pause.set(Some(pause_end));
     None
 }
 
+/// Asks several instances at once whether they can connect to a target; returns the replies.
+async fn ask_others(
+    context: &Context,
+    connections: &TargetConnections,
+    target: &TargetIncarnation,
+) -> Vec<RelayReply> {
+    let mut instances = candidates(context, target).into_iter();
+    let mut ask_next = || {
+        let instance = instances.next();
+        async move { ask_for_check(context, connections, target, instance?).await }
+    };
+    let replies = tokio::join!(ask_next(), ask_next(), ask_next());
+    [replies.0, replies.1, replies.2]
+        .into_iter()
+        .flatten()
+        .collect()
+}
+
 /// Asks an instance whether it can connect to a target; returns `None` if it does not answer.
 async fn ask_for_check(
     context: &Context,
@@ -259,7 +286,10 @@
     match &outcome {
         ExchangeOutcome::Completed(_) | ExchangeOutcome::NotExecuted(..) => {
             let data_centre = pool.data_centre.borrow().clone();
-            relays.record_success(&instance, data_centre.unwrap_or_default(), now);
+            relays.record_success(&instance, data_centre, now);
+        }
+        ExchangeOutcome::NotRelayed(RelayReply::TargetReached) => {
+            relays.record_success(&instance, None, now);
         }
         ExchangeOutcome::Unsent(_)
         | ExchangeOutcome::NotRelayed(RelayReply::CutOff | RelayReply::TargetUnreachable) => {
--- a/crates/decide/src/relays.rs
+++ b/crates/decide/src/relays.rs
@@ -48,10 +48,10 @@
 }
 
 impl<A: Ord + Clone> Relays<A> {
-    /// Records that an instance of this data centre has reached a target.
-    pub fn record_success(&mut self, instance: &A, data_centre: Name, now: Instant) {
+    /// Records that an instance has reached a target, and its data centre if it has told that.
+    pub fn record_success(&mut self, instance: &A, data_centre: Option<Name>, now: Instant) {
         let relay = self.known.entry(instance.clone()).or_default();
-        relay.data_centre = Some(data_centre);
+        relay.data_centre = data_centre.or(relay.data_centre.take());
         relay.last_success = Some(now);
         relay.last_failure = None;
     }
--- a/crates/decide/tests/reach.rs
+++ b/crates/decide/tests/reach.rs
@@ -81,8 +81,10 @@
 fn instances_that_work_near_the_target_are_asked_first_and_those_that_fail_last() {
     let now = Instant::now();
     let mut relays = Relays::default();
-    relays.record_success(&1, name("east"), now);
-    relays.record_success(&2, name("west"), now);
+    relays.record_success(&1, Some(name("east")), now);
+    relays.record_success(&2, Some(name("west")), now);
+    // The data centre stays known.
+    relays.record_success(&2, None, now);
     relays.record_failure(&3, now);
     let (own, near) = (name("south"), name("west"));
     let candidates = |relays: &Relays<u8>, now| {
