fix(serve): the leader withdraws ends of targets that go on reporting themselves

Found by a test: a false end that others confirm blocked a content for ten minutes if nothing else was sent to those targets, since only an answered attempt withdrew it; and one that was answered by the target's next process, started under the same id, withdrew a true end.

Change: the leader, which knows all ends, reviews them with each heartbeat. A target that a read from 3.5 s after the end still shows under the same incarnation has not ended, as its report would have expired or been replaced. Not while missing reports are kept after a gap between reads.

Links in tests can also be down: reset, and new connections refused.

--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -118,7 +118,7 @@
     513 BLOCK_LIFTED Info FREQUENT_RATE; "requests are no longer refused: {detail}";
         "A target has served a request with this content, so that it is not what makes targets end."; "Nothing.";
     514 END_REFUTED Info FREQUENT_RATE; "target {target} has not ended: {detail}";
-        "A target was reached after it was reported to have ended under a request; the report counts no more."; "Nothing.";
+        "A target that instances took for ended under a request goes on reporting itself; that end counts no more."; "Nothing.";
     601 SETTINGS_RELOADED Info None; "settings reloaded: {detail}";
         "The process uses the section `bounds` of the settings file as it is now; other changes need a restart."; "Nothing.";
     602 SETTINGS_RELOAD_FAILED Error None; "settings not reloaded: {detail}";
--- a/crates/cowslipcross/src/peers/datagram.rs
+++ b/crates/cowslipcross/src/peers/datagram.rs
@@ -79,7 +79,6 @@
         Message::TargetNotices(all) => heartbeat_protocol::handle_notices(context, all),
         Message::Crashes(crashes) => crashing_requests::handle_crashes(context, crashes),
         Message::BlocksLifted(requests) => crashing_requests::handle_lifted(context, requests),
-        Message::TargetsReached(targets) => crashing_requests::handle_reached(context, targets),
         permit_message => permits::handle_message(context, permit_message, from),
     }
 }
--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -160,6 +160,7 @@
         _ => count,
     };
     context.instance_count.set(count);
+    crashing_requests::review_ends(context);
     let now = Instant::now();
     let (blocks, lifted) = context.crashing_requests.borrow_mut().for_heartbeat(now);
     let message = Message::Heartbeat(LeaderHeartbeat {
--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -1,8 +1,7 @@
 //! Messages between instances.
 //!
 //! The order of variants and fields is that on the wire: messages are encoded without names to keep
-//! them short, as every request asks for a permit. Any change of it needs another [`FORMAT`], except for a
-//! variant at the end, which builds without it drop as malformed.
+//! them short, as every request asks for a permit. Any change of it needs another [`FORMAT`].
 
 use {
     crate::{
@@ -95,9 +94,6 @@
         /// What the target has said of itself in its response.
         notice: Option<WireNotice>,
     },
-    /// From an instance to the leader: it has reached targets that counted as ended. Builds without this
-    /// variant drop it.
-    TargetsReached(Vec<WireTarget>),
 }
 
 impl Message {
@@ -180,10 +176,6 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireCrash(Fingerprint, Fingerprint, Name, u64);
 
-/// Id and incarnation of a target.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct WireTarget(Name, u64);
-
 /// Fingerprint of a blocked request, and milliseconds for which it stays blocked.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireBlock(Fingerprint, u64);
@@ -275,19 +267,6 @@
     }
 }
 
-impl From<&TargetIncarnation> for WireTarget {
-    fn from(target: &TargetIncarnation) -> Self {
-        Self(target.id.clone(), target.incarnation)
-    }
-}
-
-impl From<WireTarget> for TargetIncarnation {
-    fn from(wire: WireTarget) -> Self {
-        let WireTarget(id, incarnation) = wire;
-        Self { id, incarnation }
-    }
-}
-
 impl From<(Fingerprint, Duration)> for WireBlock {
     fn from((request, time): (Fingerprint, Duration)) -> Self {
         Self(request, time.as_millis() as u64)
--- a/crates/cowslipcross/src/peers/message_tests.rs
+++ b/crates/cowslipcross/src/peers/message_tests.rs
@@ -1,7 +1,7 @@
 //! Encoding of messages: complete, short, and malformed ones are noticed.
 
 use {
-    super::{FORMAT, Message, WireNotice, WireTarget},
+    super::{FORMAT, Message, WireNotice},
     cowslip_decide::permits::PermitOutcome,
     quickcheck::quickcheck,
 };
@@ -23,7 +23,7 @@
     WireNotice("a".into(), 1_764_838_800_123, true, Some(1_500), 1 << 60)
 }
 
-fn messages() -> [Message; 6] {
+fn messages() -> [Message; 5] {
     [
         permit_request(),
         Message::TargetNotices(vec![notice()]),
@@ -36,7 +36,6 @@
         },
         Message::LeadershipOffer,
         Message::Members("10.0.0.1:7660=20".into()),
-        Message::TargetsReached(vec![WireTarget("a".into(), 1_764_838_800_123)]),
     ]
 }
 
--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -53,7 +53,6 @@
         context.metrics.count_limited_send(permit.is_some());
     }
     let attempt = async move {
-        let started = Instant::now();
         let exchange_outcome = target_path::send(
             &context,
             &connections,
@@ -62,9 +61,6 @@
             max_connections,
         )
         .await;
-        if exchange_outcome.is_response() {
-            crashing_requests::record_reached(&context, &incarnation, started);
-        }
         let feedback = apply_end(
             &context,
             &request,
--- a/crates/cowslipcross/src/serve/crashing_requests.rs
+++ b/crates/cowslipcross/src/serve/crashing_requests.rs
@@ -11,7 +11,7 @@
         events::{self, EventCode, EventFields},
         peers::{
             datagram,
-            message::{Message, WireBlock, WireCrash, WireTarget},
+            message::{Message, WireBlock, WireCrash},
         },
         serve::{fingerprints::Fingerprints, request::CallerRequest},
     },
@@ -23,6 +23,8 @@
     tokio::time::Instant,
 };
 
+/// Time within which the report of a target that has ended expires.
+const REPORT_EXPIRY: Duration = Duration::from_millis(3500);
 /// Time for which reports repeat the end of a target. A leader that is lost is replaced within it.
 const CRASH_REPEAT_TIME: Duration = Duration::from_secs(10);
 /// Most ends of targets in a report, of more the latest ones.
@@ -166,44 +168,41 @@
     }
 }
 
-/// Records that a target was reached on an attempt that began at `from`: if its end was recorded before, it
-/// has not ended, and the leader is told.
-pub fn record_reached(context: &Context, target: &TargetIncarnation, from: Instant) {
-    let is_refuted = |known: &CrashingRequests| known.log.is_refuted(target, from);
-    if is_refuted(&context.crashing_requests.borrow()) {
+/// As leader, forgets the ends of targets that still report themselves under the same incarnation, and lifts
+/// the blocks for which too few are left. The report of a target that has ended expires, or is replaced by that
+/// of its next incarnation.
+pub fn review_ends(context: &Context) {
+    let targets = context.targets.borrow().clone();
+    let now = Instant::now();
+    let Some(read_at) = targets.confirmed_at().filter(|_| targets.is_complete(now)) else {
+        return;
+    };
+    let Some(latest) = read_at.checked_sub(REPORT_EXPIRY) else {
+        return;
+    };
+    let ends = context.crashing_requests.borrow().log.ends_before(latest);
+    let is_alive = |target: &TargetIncarnation| {
+        let view = targets.get(&target.id);
+        view.is_some_and(|it| it.report.incarnation == target.incarnation)
+    };
+    for target in ends.iter().filter(|it| is_alive(it)) {
         refute(context, target);
-        let wire = WireTarget::from(target);
-        tell_leader(context, &Message::TargetsReached(vec![wire]));
     }
 }
 
-/// Applies that another instance has reached targets that counted as ended.
-pub fn handle_reached(context: &Context, targets: Vec<WireTarget>) {
-    for wire in targets {
-        refute(context, &wire.into());
-    }
-}
-
-/// Forgets the end of a target. Only the leader knows all ends, so that only the leader lifts blocks because
-/// of it; its heartbeats tell the others.
 fn refute(context: &Context, target: &TargetIncarnation) {
     let mut known = context.crashing_requests.borrow_mut();
-    known
-        .own_crashes
-        .retain(|(crash, _)| crash.target != *target);
-    let doubtful = known.log.refute(target);
+    let doubtful = known.log.refute(target, Instant::now());
     drop(known);
     let fields = EventFields {
         target: Some(target.id.clone()),
-        detail: Some("reached since".into()),
+        detail: Some("it goes on reporting itself".into()),
         ..EventFields::default()
     };
     context.events.record(events::END_REFUTED, fields);
-    if context.is_leader() {
-        doubtful
-            .into_iter()
-            .for_each(|request| unblock(context, request));
-    }
+    doubtful
+        .into_iter()
+        .for_each(|request| unblock(context, request));
 }
 
 /// Lifts a block as leader.
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -106,11 +106,6 @@
 }
 
 impl ExchangeOutcome {
-    /// Returns whether the target has answered the request.
-    pub fn is_response(&self) -> bool {
-        matches!(self, Self::Completed(_) | Self::NotExecuted(..))
-    }
-
     /// Returns whether the connection was closed after the request had at least partly been sent and
     /// before any response.
     pub fn is_closed(&self) -> bool {
--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -92,6 +92,12 @@
             .map(|at| now.saturating_duration_since(at))
     }
 
+    /// Returns whether all targets have a report; those that lack one are kept for some time after a gap
+    /// between reads.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        self.grace_until.is_none_or(|until| until <= now)
+    }
+
     /// Returns the version of the store at the last change.
     pub fn changed_version(&self) -> StoreVersion {
         self.changed_version
--- a/crates/cowslipcross/tests/instance/cut_off.rs
+++ b/crates/cowslipcross/tests/instance/cut_off.rs
@@ -2,7 +2,7 @@
 //! reach them.
 
 use {
-    crate::deployment::{Deployment, booking_request, lookup_request, removal_request},
+    crate::deployment::{Deployment, booking_request, lookup_request, removal_request, wait_until},
     cowslip_adapter_standins::link::LinkState,
     futures_util::future::join_all,
     http::StatusCode,
@@ -199,3 +199,27 @@
     assert_eq!(in_flight().sum::<u32>(), 0);
     assert_eq!(deployment.count_executions("left"), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_false_end_that_others_confirm_is_withdrawn_after_the_cut() {
+    let deployment = Deployment::start_with_links(INSTANCES, 4, SLOTS, LONG_TIME).await;
+    let all: Vec<usize> = (0..INSTANCES).collect();
+    // More than one target has slots for, so that both of the service run some when the cut begins.
+    let requests = (0..SLOTS + 4).map(|number| {
+        let request = booking_request(&format!("first-{number}"));
+        deployment.instances[0].send(request)
+    });
+    let cut = async {
+        sleep(LONG_TIME / 2).await;
+        set_links(&deployment, &all, LinkState::Down);
+    };
+    let _ = tokio::join!(join_all(requests), cut);
+    set_links(&deployment, &all, LinkState::Up);
+    let log = deployment.instances[0].log();
+    assert!(log.contains("CC0512"), "no block to be withdrawn");
+    let serves = || async {
+        let response = deployment.instances[0].send(booking_request("later")).await;
+        response.is_some_and(|it| it.status == StatusCode::OK)
+    };
+    wait_until(serves).await;
+}
--- a/crates/decide/src/crashes.rs
+++ b/crates/decide/src/crashes.rs
@@ -3,14 +3,14 @@
 //! A request that crashes each target that runs it comes again, from its caller and from instances that
 //! retry. Each instance reports the targets that have ended under its requests to the leader; the leader
 //! and each instance block a request under which several targets have ended. A request that was merely
-//! in progress when a target ended is served elsewhere, which lifts a block on it. A target that is reached
-//! after its end was reported has not ended: the report counts no more.
+//! in progress when a target ended is served elsewhere, which lifts a block on it. A target that goes on
+//! reporting itself under the same incarnation has not ended.
 
 use {
     crate::owners::TargetIncarnation,
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         fmt,
         time::Duration,
     },
@@ -26,6 +26,8 @@
 /// Time for which requests that were served are remembered. A request that was harmless until now is
 /// not blocked before this has passed.
 const SERVED_MEMORY: Duration = Duration::from_secs(2);
+/// Time for which false ends are remembered, longer than instances report an end.
+const REFUTED_MEMORY: Duration = Duration::from_secs(15);
 /// Most requests that are remembered as served.
 const MAX_SERVED: usize = 4096;
 /// Most requests that are remembered because of targets that ended.
@@ -60,6 +62,8 @@
     /// When such a request was last served, and the order in which they were.
     served_at: BTreeMap<Fingerprint, Instant>,
     served: VecDeque<(Fingerprint, Instant)>,
+    /// Ends that proved to be false, and when: instances may report them again.
+    refuted: BTreeMap<(Fingerprint, TargetIncarnation), Instant>,
 }
 
 /// A request under which a target has ended.
@@ -95,7 +99,9 @@
             .suspects
             .entry(request)
             .or_insert_with(|| Suspect::new(now));
-        if suspect.targets.contains_key(&target) {
+        if suspect.targets.contains_key(&target)
+            || self.refuted.contains_key(&(request, target.clone()))
+        {
             return BlockChange::None;
         }
         suspect.targets.insert(target, now);
@@ -145,23 +151,28 @@
         self.lift(request)
     }
 
-    /// Returns whether a target counts as ended although it was reached on an attempt that began at `from`.
-    pub fn is_refuted(&self, target: &TargetIncarnation, from: Instant) -> bool {
-        let mut all = self.suspects.values();
-        all.any(|it| it.targets.get(target).is_some_and(|at| *at < from))
+    /// Returns the targets whose ends were recorded before a time.
+    pub fn ends_before(&self, time: Instant) -> BTreeSet<TargetIncarnation> {
+        let all = self.suspects.values().flat_map(|it| &it.targets);
+        let before = all.filter(|(_, at)| **at < time);
+        before.map(|(target, _)| target.clone()).collect()
     }
 
     /// Records that a target has not ended; returns the blocked requests under which too few targets have
-    /// ended now, as far as this instance knows.
-    pub fn refute(&mut self, target: &TargetIncarnation) -> Vec<Fingerprint> {
+    /// ended now.
+    pub fn refute(&mut self, target: &TargetIncarnation, now: Instant) -> Vec<Fingerprint> {
         let mut doubtful = Vec::new();
-        self.suspects.retain(|request, it| {
-            let is_affected = it.targets.remove(target).is_some();
-            if is_affected && it.targets.len() < MAX_CRASHES && it.blocked_until.is_some() {
+        for (request, it) in &mut self.suspects {
+            if it.targets.remove(target).is_none() {
+                continue;
+            }
+            self.refuted.insert((*request, target.clone()), now);
+            if it.targets.len() < MAX_CRASHES && it.blocked_until.is_some() {
                 doubtful.push(*request);
             }
-            !it.targets.is_empty() || it.blocked_until.is_some()
-        });
+        }
+        self.suspects
+            .retain(|_, it| !it.targets.is_empty() || it.blocked_until.is_some());
         doubtful
     }
 
@@ -192,6 +203,7 @@
 
     /// Drops what is too old, and the oldest of too many requests.
     fn remove_old(&mut self, now: Instant) {
+        self.refuted.retain(|_, at| now - *at < REFUTED_MEMORY);
         self.suspects.retain(|_, it| {
             let is_blocked = it.blocked_until.is_some_and(|until| until > now);
             is_blocked || now - it.last_crash < BLOCK_TIME
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -121,25 +121,23 @@
 }
 
 #[test]
-fn a_target_that_is_reached_after_its_reported_end_has_not_ended() {
+fn an_end_that_proves_false_counts_no_more() {
     let start = Instant::now();
     let mut log = CrashLog::default();
     let (first, second) = (target("a", 1), target("b", 1));
     log.record_crash(REQUEST, first.clone(), start);
+    let later = start + seconds(1);
     assert_eq!(
-        log.record_crash(REQUEST, second.clone(), start),
+        log.record_crash(REQUEST, second, later),
         BlockChange::Blocked
     );
-    // An attempt from before the end proves nothing, nor does another incarnation.
-    assert!(!log.is_refuted(&first, start));
-    let later = start + seconds(1);
-    assert!(!log.is_refuted(&target("a", 2), later));
-    assert!(log.is_refuted(&first, later));
-    assert_eq!(log.refute(&first), [REQUEST]);
+    assert_eq!(log.ends_before(later), [first.clone()].into());
+    assert_eq!(log.refute(&first, later), [REQUEST]);
     log.unblock(REQUEST);
     assert_eq!(log.remaining_block(REQUEST, later), None);
+    // An instance that has not heard of it reports it again.
+    assert_eq!(log.record_crash(REQUEST, first, later), BlockChange::None);
     // The other end still counts.
-    assert!(log.is_refuted(&second, later));
     assert_eq!(
         log.record_crash(REQUEST, target("c", 1), later),
         BlockChange::Blocked
@@ -153,10 +151,10 @@
     for id in ["a", "b", "c"] {
         log.record_crash(REQUEST, target(id, 1), start);
     }
-    assert!(log.refute(&target("a", 1)).is_empty());
+    assert!(log.refute(&target("a", 1), start).is_empty());
     assert!(log.remaining_block(REQUEST, start).is_some());
-    // A block that another instance has announced is not this one's to lift without an end of its own.
+    // No end is known for a block that another instance has announced.
     log.block(Fingerprint(8), seconds(100), start);
-    assert!(log.refute(&target("z", 1)).is_empty());
+    assert!(log.refute(&target("z", 1), start).is_empty());
     assert!(log.remaining_block(Fingerprint(8), start).is_some());
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -123,11 +123,16 @@
 
 /// Draws a cut of the links of some instances, but not all of them, to all targets, and its duration.
 pub fn draw_cut(random: &mut StdRng, instance_count: usize) -> (Fault, Duration) {
-    let state = [LinkState::Silent, LinkState::Reset, LinkState::RefusesNew];
+    let state = [
+        LinkState::Silent,
+        LinkState::Reset,
+        LinkState::RefusesNew,
+        LinkState::Down,
+    ];
     let fault = Fault::CutLinks(
         random.random_range(0..instance_count),
         random.random_range(1..instance_count.max(2)),
-        state[random.random_range(0..3)],
+        state[random.random_range(0..4)],
     );
     let duration = Duration::from_millis(random.random_range(1000..8000));
     (fault, duration)
