fix(serve): a target that no other instance passes requests on to is tried on the own path again

Found by reading: while requests to a target go through others, the own path is tried once a second only; if it is whole again and the others are gone meanwhile, requests were refused for up to a second.

--- a/crates/cowslipcross/src/serve/target_path.rs
+++ b/crates/cowslipcross/src/serve/target_path.rs
@@ -67,8 +67,14 @@
     } else {
         retry_own_path(context, connections);
     }
-    let outcome = send_through_others(context, connections, target, request).await;
-    outcome.unwrap_or(ExchangeOutcome::Unsent(ConnectError::Failed))
+    match send_through_others(context, connections, target, request).await {
+        Some(outcome) => outcome,
+        // The own path may be whole again before it was tried, and the others gone.
+        None if !context.reach.borrow().is_lost() => {
+            send_directly(context, connections, target, request, max_connections).await
+        }
+        None => ExchangeOutcome::Unsent(ConnectError::Failed),
+    }
 }
 
 /// Sends a request to a target on the own path.
