--- a/crates/cowslipcross/src/lead/election_loop.rs
+++ b/crates/cowslipcross/src/lead/election_loop.rs
@@ -49,7 +49,7 @@
 const RESIGN_INTERVAL: Duration = Duration::from_secs(20);
 /// Additional delay of an instance that is cut off from targets, so that others claim the row first.
 const CUT_OFF_DELAY: Duration = Duration::from_secs(2);
-/// Time for which an instance that was asked to claim the row leaves none to others.
+/// Time for which an instance that was asked to claim the row does not wait for the members before it.
 const OFFER_TIME: Duration = Duration::from_secs(1);
 /// Time after such a resignation in which the instance does not claim the row; long enough for the
 /// successor to read the free row and claim it.
@@ -176,26 +176,24 @@
     let weight = membership::cpu_weight(context.settings.cpu);
     let other = context.membership.borrow().strongest_except(own);
     let is_weaker = other.is_some_and(|it| it.weight >= weight.saturating_mul(STRONGER_FACTOR));
-    let is_offered = context.offered_at.get();
-    let is_offered = is_offered.is_some_and(|at| at.elapsed() < OFFER_TIME);
     let is_cut_off = context.reach.borrow().is_lost();
-    let duration = match is_offered {
-        true => Duration::ZERO,
-        false => position_delay(context, random_delay),
+    let cut_off_delay = match is_cut_off {
+        true => CUT_OFF_DELAY,
+        false => Duration::ZERO,
     };
     ClaimDelay {
-        duration: duration
-            + if is_cut_off {
-                CUT_OFF_DELAY
-            } else {
-                Duration::ZERO
-            },
+        duration: position_delay(context, random_delay) + cut_off_delay,
         includes_own: is_weaker || is_cut_off,
     }
 }
 
-/// Returns the time for which this instance waits for the members before it.
+/// Returns the time for which this instance waits for the members before it; none if the last leader has
+/// asked it to claim the row.
 fn position_delay(context: &Context, random_delay: Duration) -> Duration {
+    let offered_at = context.offered_at.get();
+    if offered_at.is_some_and(|at| at.elapsed() < OFFER_TIME) {
+        return Duration::ZERO;
+    }
     let own = context.settings.listen.heartbeats;
     let is_weak = membership::cpu_weight(context.settings.cpu) < STRONG_WEIGHT;
     match context.membership.borrow().position(own) {
