fix(serve): requests do not wait while others are asked whether they reach a target

Others are asked in a task of its own, and the permit is returned when they have answered, so that a lost path still does not count against the target. After a closed connection others are asked only if the target refuses another one; one that is silent has not ended.

--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -18,13 +18,18 @@
     },
     cowslip_decide::{names::Name, owners::TargetIncarnation, permits::PermitOutcome},
     std::{rc::Rc, time::Duration},
-    tokio::{task::spawn_local, time::Instant},
+    tokio::{
+        task::{JoinHandle, spawn_local},
+        time::Instant,
+    },
 };
 
 /// What the coordinator of the pool is told of a target after an attempt.
 struct TargetFeedback {
     /// Whether other instances reach the target, but this one does not.
     is_path_lost: bool,
+    /// Finds out whether other instances reach a target that this one could not connect to.
+    search: Option<JoinHandle<bool>>,
     /// Time for which the target wants no requests from this instance.
     quiet_time: Option<Duration>,
     /// What the target has said of itself in its response.
@@ -76,6 +81,9 @@
             permit.slowdown.set(connections.slowdown());
             permit.quiet_time.set(feedback.quiet_time);
             permit.notice.replace(feedback.notice);
+            if let Some(search) = feedback.search {
+                spawn_local(return_permit(permit, search));
+            }
         }
         exchange_outcome
     };
@@ -86,11 +94,18 @@
     joined.unwrap_or(ExchangeOutcome::Broken("task of the attempt failed"))
 }
 
+/// Returns a permit for a target that could not be connected to once it is known whether others can.
+async fn return_permit(permit: Permit, search: JoinHandle<bool>) {
+    if search.await.is_ok_and(|is_reached| is_reached) {
+        permit.outcome.set(PermitOutcome::Unused);
+    }
+}
+
 /// Applies what the end of an attempt tells of the target and of the request.
 async fn apply_end(
-    context: &Context,
+    context: &Rc<Context>,
     request: &CallerRequest,
-    (connections, target): (&TargetConnections, &TargetIncarnation),
+    (connections, target): (&Rc<TargetConnections>, &TargetIncarnation),
     outcome: &ExchangeOutcome,
 ) -> TargetFeedback {
     let life = match outcome.is_closed() {
@@ -103,8 +118,13 @@
     if matches!(outcome, ExchangeOutcome::Completed(_)) {
         crashing_requests::record_served(context, request);
     }
+    let search = match outcome.is_unreachable() {
+        true => target_path::look_for_others(context, connections, target),
+        false => None,
+    };
     let (quiet_time, notice) = apply_notices(context, &request.service, connections, target);
     TargetFeedback {
+        search,
         is_path_lost: life == Some(TargetLife::ReachedByOthers),
         quiet_time,
         notice,
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -106,6 +106,14 @@
 }
 
 impl ExchangeOutcome {
+    /// Returns whether the target could not be connected to, so that nothing was sent.
+    pub fn is_unreachable(&self) -> bool {
+        matches!(
+            self,
+            Self::Unsent(ConnectError::Closed | ConnectError::Failed)
+        )
+    }
+
     /// Returns whether the connection was closed after the request had at least partly been sent and
     /// before any response.
     pub fn is_closed(&self) -> bool {
--- a/crates/cowslipcross/src/serve/target_path.rs
+++ b/crates/cowslipcross/src/serve/target_path.rs
@@ -20,7 +20,10 @@
     cowslip_decide::{names::Name, owners::TargetIncarnation, reach::ReachChange},
     http::{HeaderMap, HeaderValue, Method},
     std::{net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{task::spawn_local, time::Instant},
+    tokio::{
+        task::{JoinHandle, spawn_local},
+        time::Instant,
+    },
 };
 
 /// Instances that are asked to pass on one request at most.
@@ -59,14 +62,9 @@
     max_connections: u32,
 ) -> ExchangeOutcome {
     if uses_own_path(context, connections) {
-        let outcome = send_directly(context, connections, target, request, max_connections).await;
-        if !is_unreachable(&outcome) || !is_reached_by_others(context, connections, target).await {
-            return outcome;
-        }
-        record_bypassed(context, connections, target);
-    } else {
-        retry_own_path(context, connections);
+        return send_directly(context, connections, target, request, max_connections).await;
     }
+    retry_own_path(context, connections);
     match send_through_others(context, connections, target, request).await {
         Some(outcome) => outcome,
         // The own path may be whole again before it was tried, and the others gone.
@@ -104,14 +102,22 @@
 
 /// Finds out whether a target has ended that closed a connection without a response.
 pub async fn check_life(
-    context: &Context,
-    connections: &TargetConnections,
+    context: &Rc<Context>,
+    connections: &Rc<TargetConnections>,
     target: &TargetIncarnation,
 ) -> TargetLife {
     let own = connections.check().await;
-    if own.is_ok() {
-        record_opened(context);
-        return TargetLife::Reached;
+    match own {
+        Ok(()) => {
+            record_opened(context);
+            return TargetLife::Reached;
+        }
+        Err(ConnectError::Closed) => {}
+        // A target whose process has ended refuses connections; nobody has to wait for what others find.
+        Err(_) => {
+            look_for_others(context, connections, target);
+            return TargetLife::Unknown;
+        }
     }
     let replies = ask_others(context, connections, target).await;
     if replies.contains(&RelayReply::TargetReached) {
@@ -119,16 +125,15 @@
         return TargetLife::ReachedByOthers;
     }
     let confirmed = count_closed(&replies);
-    let is_closed = own == Err(ConnectError::Closed);
     let is_alone = replies.is_empty() && !context.reach.borrow().is_lost();
-    match confirmed >= 2 || is_closed && (confirmed == 1 || is_alone) {
+    match confirmed >= 1 || is_alone {
         true => TargetLife::Ended(confirmed),
         false => TargetLife::Unknown,
     }
 }
 
 /// Finds out whether only the own path to a target is at fault, unless that is known already.
-pub async fn check_path(context: &Context, target: &TargetIncarnation) {
+pub async fn check_path(context: &Rc<Context>, target: &TargetIncarnation) {
     let Some(connections) = target_selection::connections_to_target(context, target) else {
         return;
     };
@@ -172,25 +177,35 @@
     });
 }
 
-/// Returns whether another instance can connect to a target that this one could not connect to. If none
-/// can, none is asked for some time.
-async fn is_reached_by_others(
-    context: &Context,
-    connections: &TargetConnections,
+/// Finds out, in a task of its own, whether others can connect to a target that this instance could not
+/// connect to; if so, the next requests for it go through them. Returns the task, or `None` while this is
+/// being found out or was a moment ago.
+///
+/// The request that found it does not wait: mostly the target is at fault, and another may serve it.
+pub fn look_for_others(
+    context: &Rc<Context>,
+    connections: &Rc<TargetConnections>,
     target: &TargetIncarnation,
-) -> bool {
-    let is_paused = |until: Instant| until > Instant::now();
+) -> Option<JoinHandle<bool>> {
+    let now = Instant::now();
+    let is_paused = |until: Instant| until > now;
     if connections.relay_pause.get().is_some_and(is_paused) {
-        return false;
-    }
-    let replies = ask_others(context, connections, target).await;
-    let is_reached = replies.contains(&RelayReply::TargetReached);
-    if !is_reached {
-        let is_certain = !replies.is_empty() && count_closed(&replies) as usize == replies.len();
-        let pause = if is_certain { ENDED_PAUSE } else { RELAY_PAUSE };
-        connections.relay_pause.set(Some(Instant::now() + pause));
+        return None;
     }
-    is_reached
+    connections.relay_pause.set(Some(now + RELAY_PAUSE));
+    let (context, connections) = (context.clone(), connections.clone());
+    let target = target.clone();
+    Some(spawn_local(async move {
+        let replies = ask_others(&context, &connections, &target).await;
+        let is_reached = replies.contains(&RelayReply::TargetReached);
+        if is_reached {
+            record_bypassed(&context, &connections, &target);
+        } else if !replies.is_empty() && count_closed(&replies) as usize == replies.len() {
+            let pause_end = Instant::now() + ENDED_PAUSE;
+            connections.relay_pause.set(Some(pause_end));
+        }
+        is_reached
+    }))
 }
 
 fn count_closed(replies: &[RelayReply]) -> u32 {
@@ -332,12 +347,6 @@
     all.entry(instance).or_insert_with(created).clone()
 }
 
-/// Returns whether a target could not be connected to, so that nothing was sent.
-fn is_unreachable(outcome: &ExchangeOutcome) -> bool {
-    use ConnectError::{Closed, Failed};
-    matches!(outcome, ExchangeOutcome::Unsent(Closed | Failed))
-}
-
 /// Returns whether an instance did not send the request that it was asked to pass on.
 fn is_not_passed_on(outcome: &ExchangeOutcome) -> bool {
     matches!(
