--- a/crates/cowslipcross/src/serve/target_path.rs
+++ b/crates/cowslipcross/src/serve/target_path.rs
@@ -26,8 +26,10 @@
     },
 };
 
-/// Instances that are asked to pass on one request at most.
+/// Instances that are asked to pass on one request at most, and whether they reach a target.
 const MAX_RELAYS: usize = 3;
+/// Instances that are asked whether a target has ended. More, as several may be cut off at once.
+const MAX_WITNESSES: usize = 5;
 /// Connections to an instance that passes requests on.
 const MAX_RELAY_CONNECTIONS: u32 = 256;
 /// Time from one attempt to connect to a target on the own path to the next, while other instances pass
@@ -119,7 +121,7 @@
             return TargetLife::Unknown;
         }
     }
-    let replies = ask_others(context, connections, target).await;
+    let replies = ask_others(context, connections, target, MAX_WITNESSES).await;
     if replies.contains(&RelayReply::TargetReached) {
         record_bypassed(context, connections, target);
         return TargetLife::ReachedByOthers;
@@ -196,7 +198,7 @@
     let (context, connections) = (context.clone(), connections.clone());
     let target = target.clone();
     Some(spawn_local(async move {
-        let replies = ask_others(&context, &connections, &target).await;
+        let replies = ask_others(&context, &connections, &target, MAX_RELAYS).await;
         let is_reached = replies.contains(&RelayReply::TargetReached);
         if is_reached {
             record_bypassed(&context, &connections, &target);
@@ -239,22 +241,21 @@
     None
 }
 
-/// Asks several instances at once whether they can connect to a target; returns the replies.
+/// Asks up to `count` instances, at most [`MAX_WITNESSES`], at once whether they can connect to a target;
+/// returns the replies.
 async fn ask_others(
     context: &Context,
     connections: &TargetConnections,
     target: &TargetIncarnation,
+    count: usize,
 ) -> Vec<RelayReply> {
-    let mut instances = candidates(context, target).into_iter();
+    let mut instances = candidates(context, target).into_iter().take(count);
     let mut ask_next = || {
         let instance = instances.next();
         async move { ask_for_check(context, connections, target, instance?).await }
     };
-    let replies = tokio::join!(ask_next(), ask_next(), ask_next());
-    [replies.0, replies.1, replies.2]
-        .into_iter()
-        .flatten()
-        .collect()
+    let (a, b, c, d, e) = tokio::join!(ask_next(), ask_next(), ask_next(), ask_next(), ask_next());
+    [a, b, c, d, e].into_iter().flatten().collect()
 }
 
 /// Asks an instance whether it can connect to a target; returns `None` if it does not answer.
