--- a/crates/cowslipcross/src/serve/crashing_requests.rs
+++ b/crates/cowslipcross/src/serve/crashing_requests.rs
@@ -181,11 +181,8 @@
         return;
     };
     let ends = context.crashing_requests.borrow().log.ends_before(latest);
-    let is_alive = |target: &TargetIncarnation| {
-        let view = targets.get(&target.id);
-        view.is_some_and(|it| it.report.incarnation == target.incarnation)
-    };
-    for target in ends.iter().filter(|it| is_alive(it)) {
+    let is_alive = |target: &&TargetIncarnation| targets.get_incarnation(target).is_some();
+    for target in ends.iter().filter(is_alive) {
         refute(context, target);
     }
 }
--- a/crates/cowslipcross/src/serve/target_selection.rs
+++ b/crates/cowslipcross/src/serve/target_selection.rs
@@ -86,10 +86,7 @@
     let Some(owner_incarnation) = assigned.owner.as_ref() else {
         return Selection::Wait(RESELECT_INTERVAL);
     };
-    let Some(view) = targets
-        .get(&owner_incarnation.id)
-        .filter(|it| it.report.incarnation == owner_incarnation.incarnation)
-    else {
+    let Some(view) = targets.get_incarnation(owner_incarnation) else {
         return Selection::Wait(RESELECT_INTERVAL);
     };
     let is_drain_over = |since: Instant| now - since > OWNER_DRAIN_TIME;
@@ -108,8 +105,7 @@
 pub fn may_relay(context: &Context, target: &TargetIncarnation) -> bool {
     let now = Instant::now();
     let targets = context.targets.borrow();
-    let view = targets.get(&target.id);
-    let Some(view) = view.filter(|it| it.report.incarnation == target.incarnation) else {
+    let Some(view) = targets.get_incarnation(target) else {
         return false;
     };
     let is_drain_over = |since: Instant| now - since > OWNER_DRAIN_TIME;
@@ -125,16 +121,14 @@
     target: &TargetIncarnation,
 ) -> Option<Rc<TargetConnections>> {
     let targets = context.targets.borrow();
-    let view = targets.get(&target.id)?;
-    let is_same = view.report.incarnation == target.incarnation;
-    is_same.then(|| connections_to(context, view))
+    let view = targets.get_incarnation(target)?;
+    Some(connections_to(context, view))
 }
 
 /// Returns whether an incarnation of a target takes only so many requests a second.
 pub fn is_limited(context: &Context, target: &TargetIncarnation) -> bool {
     let targets = context.targets.borrow();
-    let view = targets.get(&target.id);
-    let view = view.filter(|it| it.report.incarnation == target.incarnation);
+    let view = targets.get_incarnation(target);
     view.is_some_and(|view| has_limited_rate(context, view, Instant::now()))
 }
 
--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -108,6 +108,12 @@
         self.views.get(id)
     }
 
+    /// Returns the target if its last report is that of this incarnation.
+    pub fn get_incarnation(&self, target: &TargetIncarnation) -> Option<&TargetView> {
+        let view = self.get(&target.id)?;
+        (view.report.incarnation == target.incarnation).then_some(view)
+    }
+
     /// Returns all targets.
     pub fn all(&self) -> impl Iterator<Item = &TargetView> {
         self.views.values()
