fix(permits): a target whose connections broke counts as cold until its report has been read

Cause: a target ends and starts anew, cold, while its new report has not been read, and gets the rate of before. decide::restarts records when a target closed or refused a connection while its path was not at fault (the life check and the search for instances that reach it decide that). From then on its coordinator gives it its cold rate, until a request that was running at that moment is answered, or 2.3 s of reads without a gap have passed. Ruled out: the sequence of reports (followers get changes only, and no message was to change); a probe of the target (its price, and a full target may refuse it). Two numbers of the outcome of a permit are new; builds without them read them as broken, as before. Seen to fail: without the record the first test counts 112 requests in a second (9 allowed).

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -25,6 +25,7 @@
         owners::{Assignment, AssignmentTable, PreviousLeaders, StoreTimeBound, TargetIncarnation},
         reach::Reach,
         relays::Relays,
+        restarts::Restarts,
         traffic_split::TrafficSplitter,
     },
     cowslip_settings::process::{ProcessSettings, bounds::Bounds},
@@ -156,6 +157,8 @@
     pub crashing_requests: RefCell<CrashingRequests>,
     /// Memory for the bodies of targets' responses.
     pub response_memory: ResponseMemory,
+    /// Targets that may have restarted since their last report.
+    pub restarts: RefCell<Restarts>,
     /// Whether this instance reaches targets on its own path.
     pub reach: RefCell<Reach>,
     /// Which instances reach targets that this one does not.
@@ -261,6 +264,7 @@
             quiet_targets: RefCell::default(),
             crashing_requests: RefCell::default(),
             response_memory: ResponseMemory::default(),
+            restarts: RefCell::default(),
             reach: RefCell::default(),
             relays: RefCell::default(),
             relay_connections: RefCell::default(),
--- a/crates/cowslipcross/src/peers/message.rs
+++ b/crates/cowslipcross/src/peers/message.rs
@@ -207,6 +207,8 @@
             PermitOutcome::NotConnected => 3,
             PermitOutcome::Broken => 4,
             PermitOutcome::ServerError => 5,
+            PermitOutcome::ConnectionRefused => 6,
+            PermitOutcome::ConnectionClosed => 7,
         })
     }
 }
@@ -220,6 +222,8 @@
             2 => Self::Unused,
             3 => Self::NotConnected,
             5 => Self::ServerError,
+            6 => Self::ConnectionRefused,
+            7 => Self::ConnectionClosed,
             _ => Self::Broken,
         }
     }
--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -26,8 +26,8 @@
 
 /// What the coordinator of the pool is told of a target after an attempt.
 struct TargetFeedback {
-    /// Whether other instances reach the target, but this one does not.
-    is_path_lost: bool,
+    /// What was found of a target that closed the connection without a response.
+    life: Option<TargetLife>,
     /// Finds out whether other instances reach a target that this one could not connect to.
     search: Option<JoinHandle<bool>>,
     /// Time for which the target wants no requests from this instance.
@@ -74,15 +74,18 @@
         )
         .await;
         if let Some(permit) = permit {
-            let is_path_lost = feedback.is_path_lost || context.reach.borrow().is_lost();
-            permit
-                .outcome
-                .set(permit_outcome(&exchange_outcome, is_path_lost));
+            let is_path_lost = context.reach.borrow().is_lost();
+            permit.outcome.set(permit_outcome(
+                &exchange_outcome,
+                feedback.life,
+                is_path_lost,
+            ));
             permit.slowdown.set(connections.slowdown());
             permit.quiet_time.set(feedback.quiet_time);
             permit.notice.replace(feedback.notice);
             if let Some(search) = feedback.search {
-                spawn_local(return_permit(permit, search));
+                let is_refused = exchange_outcome.is_refused();
+                spawn_local(return_permit(permit, search, is_refused));
             }
         }
         exchange_outcome
@@ -95,9 +98,11 @@
 }
 
 /// Returns a permit for a target that could not be connected to once it is known whether others can.
-async fn return_permit(permit: Permit, search: JoinHandle<bool>) {
-    if search.await.is_ok_and(|is_reached| is_reached) {
-        permit.outcome.set(PermitOutcome::Unused);
+async fn return_permit(permit: Permit, search: JoinHandle<bool>, is_refused: bool) {
+    match search.await {
+        Ok(true) => permit.outcome.set(PermitOutcome::Unused),
+        Ok(false) if is_refused => permit.outcome.set(PermitOutcome::ConnectionRefused),
+        _ => {}
     }
 }
 
@@ -115,6 +120,10 @@
     if let Some(TargetLife::Ended(confirmed)) = life {
         record_target_end(context, request, target, confirmed);
     }
+    if life.is_some_and(TargetLife::is_target_fault) {
+        let mut restarts = context.restarts.borrow_mut();
+        restarts.record_break(target, Instant::now());
+    }
     if matches!(outcome, ExchangeOutcome::Completed(_)) {
         crashing_requests::record_served(context, request);
     }
@@ -125,7 +134,7 @@
     let (quiet_time, notice) = apply_notices(context, &request.service, connections, target);
     TargetFeedback {
         search,
-        is_path_lost: life == Some(TargetLife::ReachedByOthers),
+        life,
         quiet_time,
         notice,
     }
@@ -212,7 +221,11 @@
 
 /// Returns the outcome to report to the coordinator of the pool. What this instance sees on a path that is
 /// lost says nothing about the target.
-fn permit_outcome(outcome: &ExchangeOutcome, is_path_lost: bool) -> PermitOutcome {
+fn permit_outcome(
+    outcome: &ExchangeOutcome,
+    life: Option<TargetLife>,
+    is_path_lost: bool,
+) -> PermitOutcome {
     match outcome {
         ExchangeOutcome::Completed(response) if response.status.is_server_error() => {
             PermitOutcome::ServerError
@@ -223,8 +236,9 @@
         ExchangeOutcome::Unsent(ConnectError::LimitReached) | ExchangeOutcome::NotRelayed(_) => {
             PermitOutcome::Unused
         }
-        _ if is_path_lost => PermitOutcome::Unused,
+        _ if is_path_lost || life == Some(TargetLife::ReachedByOthers) => PermitOutcome::Unused,
         ExchangeOutcome::Unsent(_) => PermitOutcome::NotConnected,
+        _ if life.is_some_and(TargetLife::is_target_fault) => PermitOutcome::ConnectionClosed,
         ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => PermitOutcome::Broken,
     }
 }
--- a/crates/cowslipcross/src/serve/coordinator.rs
+++ b/crates/cowslipcross/src/serve/coordinator.rs
@@ -5,10 +5,14 @@
         context::Context,
         peers::message::Message,
         serve::permits::{self, PoolKey},
+        views::target_snapshot::TargetView,
     },
     cowslip_decide::{
         names::Name,
-        permits::{PermitReply, PermitReport, PermitRequest, PermitRequestId, Pool, PoolTarget},
+        permits::{
+            PermitOutcome, PermitReply, PermitReport, PermitRequest, PermitRequestId, Pool,
+            PoolTarget, ReturnedPermit,
+        },
     },
     std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
@@ -63,7 +67,13 @@
     let Some(pool) = pools.get_mut(&pool_key) else {
         return;
     };
-    pool.finish_request(id, report, now);
+    let returned = pool.finish_request(id, report, now);
+    if let Some(permit) = returned {
+        record_life(context, &permit, report.outcome, now);
+    }
+    if report.outcome.is_break() {
+        pool.update_targets(&pool_targets(context, &pool_key, now), now);
+    }
     let replies = if pool.queue_length() > 0 {
         pool.process_queue(now)
     } else {
@@ -73,6 +83,23 @@
     send_replies(context, replies);
 }
 
+/// Records what the end of a request with a permit tells of whether the target has restarted.
+fn record_life(context: &Context, permit: &ReturnedPermit, outcome: PermitOutcome, now: Instant) {
+    let targets = context.targets.borrow();
+    // The permit may have been for an earlier incarnation.
+    let is_same = |view: &&TargetView| view.known_since <= permit.granted_at;
+    let Some(view) = targets.get(&permit.target).filter(is_same) else {
+        return;
+    };
+    let target = view.target_incarnation();
+    let mut restarts = context.restarts.borrow_mut();
+    if outcome.is_break() {
+        restarts.record_break(&target, now);
+    } else if outcome.is_response() {
+        restarts.record_response(&target, permit.granted_at, now);
+    }
+}
+
 /// Returns the smoothed service times in milliseconds of the sharded services' targets whose pools
 /// this instance coordinates.
 pub fn service_times(context: &Context) -> BTreeMap<Name, u32> {
@@ -158,6 +185,7 @@
     let targets = context.targets.borrow();
     let withdrawn = context.withdrawn.borrow();
     let notices = context.target_notices.borrow();
+    let restarts = context.restarts.borrow();
     targets
         .for_service(service)
         .filter(|view| match owner {
@@ -168,11 +196,13 @@
             }
         })
         .map(|view| {
+            let incarnation = view.target_incarnation();
+            let is_cold = view.is_cold(now) || restarts.may_be_cold(&incarnation);
             let pool_target = PoolTarget {
                 slots: view.report.slots.min(1000) as u32,
                 data_centre: view.report.data_centre.clone(),
-                cold_rate: view.is_cold(now).then_some(cold_rate),
-                rate_limit: notices.rate_limit(&view.target_incarnation()),
+                cold_rate: is_cold.then_some(cold_rate),
+                rate_limit: notices.rate_limit(&incarnation),
             };
             (view.report.id.clone(), pool_target)
         })
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -114,6 +114,11 @@
         )
     }
 
+    /// Returns whether nothing listened at the target's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Unsent(ConnectError::Closed))
+    }
+
     /// Returns whether the connection was closed after the request had at least partly been sent and
     /// before any response.
     pub fn is_closed(&self) -> bool {
--- a/crates/cowslipcross/src/serve/target_path.rs
+++ b/crates/cowslipcross/src/serve/target_path.rs
@@ -55,6 +55,13 @@
     Unknown,
 }
 
+impl TargetLife {
+    /// Returns whether the target closed the connection itself, and not a path to it.
+    pub fn is_target_fault(self) -> bool {
+        matches!(self, Self::Reached | Self::Ended(_))
+    }
+}
+
 /// Sends a request to a target on the own path, or through another instance.
 pub async fn send(
     context: &Rc<Context>,
--- a/crates/cowslipcross/src/serve/target_selection.rs
+++ b/crates/cowslipcross/src/serve/target_selection.rs
@@ -132,10 +132,13 @@
     view.is_some_and(|view| has_limited_rate(context, view, Instant::now()))
 }
 
-/// Returns whether a target is cold or has named a limit.
+/// Returns whether a target is cold, may have restarted cold, or has named a limit.
 fn has_limited_rate(context: &Context, view: &TargetView, now: Instant) -> bool {
     let notices = context.target_notices.borrow();
-    view.is_cold(now) || notices.rate_limit(&view.target_incarnation()).is_some()
+    let target = view.target_incarnation();
+    view.is_cold(now)
+        || notices.rate_limit(&target).is_some()
+        || context.restarts.borrow().may_be_cold(&target)
 }
 
 /// Returns the rest of the time for which a target wants no requests from this instance.
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -105,7 +105,7 @@
 pub fn handle_update(context: &Context, message: TargetUpdateMessage) {
     let previous = context.targets.borrow().clone();
     match previous.apply_message(message, Instant::now()) {
-        UpdateResult::Confirmed(kept) => *context.targets.borrow_mut() = Rc::new(kept),
+        UpdateResult::Confirmed(kept) => store_snapshot(context, kept),
         UpdateResult::Changed(next) => replace_snapshot(context, &previous, next),
         UpdateResult::Missed => context.updates_missed.notify_waiters(),
     }
@@ -128,13 +128,20 @@
     let mut connections = context.connections.borrow_mut();
     connections.retain(|id, _| next.get(id).is_some());
     drop(connections);
-    *context.targets.borrow_mut() = Rc::new(next);
+    store_snapshot(context, next);
     if changed {
         context.routing_changed.notify_waiters();
         context.leader_work.notify_one();
     }
 }
 
+fn store_snapshot(context: &Context, next: TargetSnapshot) {
+    if let Some(read_at) = next.confirmed_at() {
+        context.restarts.borrow_mut().record_read(read_at);
+    }
+    *context.targets.borrow_mut() = Rc::new(next);
+}
+
 fn record_changes(context: &Context, previous: &TargetSnapshot, next: &TargetSnapshot) -> bool {
     let mut changed = false;
     let mut record_change = |code, view: &TargetView, detail: String| {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod permits;
 pub mod reach;
 pub mod relays;
+pub mod restarts;
 pub mod service_time;
 pub mod traffic_split;
 pub mod verdict;
--- a/crates/decide/src/permits/mod.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -72,10 +72,35 @@
     Unused,
     /// No connection to the target could be opened.
     NotConnected,
+    /// The target refuses connections, and not only from the instance that sent the request.
+    ConnectionRefused,
+    /// The target closed the connection without a response, although its path is not at fault.
+    ConnectionClosed,
     /// No complete response came.
     Broken,
 }
 
+impl PermitOutcome {
+    /// Returns whether the target answered the request.
+    pub fn is_response(self) -> bool {
+        matches!(self, Self::Served | Self::ServerError | Self::Shed)
+    }
+
+    /// Returns whether the target has broken off a connection, so that it may have restarted.
+    pub fn is_break(self) -> bool {
+        matches!(self, Self::ConnectionRefused | Self::ConnectionClosed)
+    }
+}
+
+/// A permit that was returned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReturnedPermit {
+    /// Target that the permit was for.
+    pub target: Name,
+    /// When the permit was granted.
+    pub granted_at: Instant,
+}
+
 /// What an instance tells the coordinator when it returns a permit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PermitReport {
@@ -194,14 +219,23 @@
         PermitReply::Queued
     }
 
-    /// Removes a request that has ended or is no longer waiting, and its permit if it has one.
-    pub fn finish_request(&mut self, id: &PermitRequestId<A>, report: PermitReport, now: Instant) {
+    /// Removes a request that has ended or is no longer waiting; returns its permit if it had one.
+    pub fn finish_request(
+        &mut self,
+        id: &PermitRequestId<A>,
+        report: PermitReport,
+        now: Instant,
+    ) -> Option<ReturnedPermit> {
         self.queue.retain(|(queued, _)| queued != id);
-        for target in self.targets.values_mut() {
-            if let Some(permit) = target.permits.remove(id) {
-                target.record_report(&id.0, report, now - permit.granted_at, now);
+        let mut returned = None;
+        for (name, target) in &mut self.targets {
+            if let Some(Permit { granted_at, .. }) = target.permits.remove(id) {
+                target.record_report(&id.0, report, now - granted_at, now);
+                let target = name.clone();
+                returned = Some(ReturnedPermit { target, granted_at });
             }
         }
+        returned
     }
 
     /// Removes expired permits and returns the replies to queued requests: permits for free slots,
--- a/crates/decide/src/permits/target_state.rs
+++ b/crates/decide/src/permits/target_state.rs
@@ -190,9 +190,13 @@
                 self.shed_pause = None;
                 self.failures.record_success();
             }
-            PermitOutcome::ServerError | PermitOutcome::Broken => self.failures.record_failure(now),
+            PermitOutcome::ServerError
+            | PermitOutcome::Broken
+            | PermitOutcome::ConnectionClosed => self.failures.record_failure(now),
             PermitOutcome::Shed => self.shed_pause = Some(now + SHED_PAUSE),
-            PermitOutcome::NotConnected => self.connect_pause = Some(now + CONNECT_FAILURE_PAUSE),
+            PermitOutcome::NotConnected | PermitOutcome::ConnectionRefused => {
+                self.connect_pause = Some(now + CONNECT_FAILURE_PAUSE);
+            }
             PermitOutcome::Unused => {}
         }
     }
