fix(views): a full read of the operators' rows that was due during an outage of the store is made up for

If the store was away when that time came, the read was never made: two of four instances kept a data centre withdrawn whose row had been removed, and refused the keys of its targets with no-owner for good. The earlier, draining incarnation of boards-2 had nothing to do with it.

--- a/crates/cowslipcross/src/views/config.rs
+++ b/crates/cowslipcross/src/views/config.rs
@@ -36,15 +36,20 @@
 /// Keeps the configuration and the withdrawals up to date; never returns.
 pub async fn watch_config(context: Rc<Context>) {
     let mut version = None;
+    let mut last_full = None;
     let mut health = StoreHealth::default();
     loop {
+        let sent_at = Instant::now();
         let read = match version {
-            None => read_all(&context).await.map(Some),
+            None => read_all(&context).await.map(|read| {
+                last_full = Some(sent_at);
+                Some(read)
+            }),
             Some(version) => tokio::select! {
                 read = wait_for_changes(&context, version) => read,
                 // The waiting call is dropped and everything is read on another connection.
                 () = wait_until_stale(&context) => Ok(None),
-                () = wait_for_grace_end(&context) => Ok(None),
+                () = wait_for_full_read(&context, last_full) => Ok(None),
             },
         };
         health.record_call(&context, "configuration", read.as_ref().err());
@@ -107,14 +112,22 @@
     restored_at.is_some_and(|at| at.elapsed() < REWRITE_GRACE)
 }
 
-/// Returns when [`REWRITE_GRACE`] ends; never if the store was not restored within that time.
-async fn wait_for_grace_end(context: &Context) {
-    match context.restored_at.get().filter(|_| is_in_grace(context)) {
-        Some(restored_at) => sleep_until(restored_at + REWRITE_GRACE).await,
+/// Returns when all rows have to be read because of a restoration of the store; never if they were.
+async fn wait_for_full_read(context: &Context, last_full: Option<Instant>) {
+    match full_read_due(context.restored_at.get(), last_full) {
+        Some(due) => sleep_until(due).await,
         None => pending().await,
     }
 }
 
+/// Returns when all rows have to be read after a restoration of the store: once operators have written
+/// again what it lacked. The time may have passed while the store was away. `None` if the last full read
+/// was sent later than that.
+fn full_read_due(restored_at: Option<Instant>, last_full: Option<Instant>) -> Option<Instant> {
+    let due = restored_at? + REWRITE_GRACE;
+    last_full.is_none_or(|sent_at| sent_at < due).then_some(due)
+}
+
 /// Reads and applies all of the operators' rows; withdrawals that have no row any more end, except
 /// during [`REWRITE_GRACE`].
 async fn read_all(context: &Context) -> Result<StoreVersion, Error> {
@@ -189,3 +202,7 @@
     context.leader_work.notify_one();
     context.routing_changed.notify_waiters();
 }
+
+#[cfg(test)]
+#[path = "config_tests.rs"]
+mod tests;
