--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -48,11 +48,6 @@
 /// Seed and seconds of the short run in which instances are cut off from all targets.
 const CUT_RUN: (u64, u64) = (10_003, 14);
 
-/// Prefix of the violations listed in KNOWN-RED.txt: they are printed and do not fail the test.
-const KNOWN_VIOLATION: &str = "FAILBACK:";
-/// Like [`KNOWN_VIOLATION`], only for the seed of [`LIMIT_RUN`].
-const KNOWN_LIMIT_VIOLATION: &str = "RECOVER:";
-
 /// Faults that are played beside the usual ones.
 #[derive(Clone, Copy)]
 struct FurtherFaults {
@@ -83,6 +78,7 @@
 async fn check_guarantees(seed: u64, seconds: u64, further: FurtherFaults) {
     let options = RunOptions {
         program_path: run::find_program().expect("cowslipcross is built"),
+        former_path: None,
         work_directory: run::work_directory_path(seed),
         seed,
         fault_time: Duration::from_secs(seconds),
@@ -94,21 +90,10 @@
     let report = run::run_deployment(&options)
         .await
         .expect("the run completes");
-    let is_known = |line: &&String| {
-        let is_known_recovery = seed == LIMIT_RUN.0 && line.starts_with(KNOWN_LIMIT_VIOLATION);
-        line.starts_with(KNOWN_VIOLATION) || is_known_recovery
-    };
-    for line in report.violations.iter().filter(is_known) {
-        println!("known red, seed {seed}: {line}");
-    }
-    let unknown: Vec<&String> = report
-        .violations
-        .iter()
-        .filter(|it| !is_known(it))
-        .collect();
     assert!(
-        unknown.is_empty(),
-        "seed {seed}: {unknown:#?}, logs in {}",
+        report.violations.is_empty(),
+        "seed {seed}: {:#?}, logs in {}",
+        report.violations,
         options.work_directory.display()
     );
     // The checks mean little if few requests succeed.
