feat(peers): messages that can grow, and the format that all members read

Cause: messages are postcard without names, so a build drops what another one sends after any change of them. The leader tells the latest format that all members have announced.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -6,7 +6,7 @@
         events::{EventCode, EventFields, EventLog, Origin, logger},
         lead::{leader_loop::LeaderState, peer_reports::PeerReports},
         metrics::Metrics,
-        peers::{datagram::PeerSocket, membership::Membership},
+        peers::{datagram::PeerSocket, formats::PeerFormats, membership::Membership},
         serve::{
             blocked_keys::BlockedKeys, coordinator::Coordinator,
             crashing_requests::CrashingRequests, permits::Permits, quiet_targets::QuietTargets,
@@ -185,6 +185,8 @@
     pub grants_expire: Cell<Option<Duration>>,
     /// UDP socket for messages between instances.
     pub peer_socket: PeerSocket,
+    /// Formats of messages that the instances read.
+    pub formats: PeerFormats,
     /// Address of the leader's UDP socket.
     pub leader_address: Cell<Option<SocketAddr>>,
     /// When the leader's last heartbeat arrived.
@@ -276,6 +278,7 @@
             observed_row: Cell::new(None),
             grants_expire: Cell::new(None),
             peer_socket: PeerSocket::new(socket),
+            formats: PeerFormats::default(),
             leader_address: Cell::new(None),
             last_heartbeat: Cell::new(None),
             instance_count: Cell::new(ASSUMED_INSTANCES),
--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -167,6 +167,12 @@
         "Look at the network between the instance and the targets.";
     619 TARGETS_REACHABLE Info None; "targets reachable: {detail}";
         "This instance has connected to a target itself; its requests take their own way again."; "Nothing.";
+    620 FORMAT_CHANGED Info None; "messages between instances: {detail}";
+        "All instances read another format of messages than before, as an upgrade or a return to the former build has ended or begun.";
+        "Nothing; see the page on upgrades.";
+    621 MESSAGE_UNREADABLE Warn None; "message of instance {instance} cannot be read: {detail}";
+        "The sender runs a build with messages that this one does not know, or the message is malformed. It was dropped; told once for each sender.";
+        "Nothing during an upgrade; otherwise look for a foreign sender.";
     701 UNSERVED Info FREQUENT_RATE; "request {request} unserved: {detail}";
         "The router answered a caller in place of a target, with a verdict and a reason.";
         "See the page on unserved requests.";
--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -28,6 +28,8 @@
     store_calls: IntCounterVec,
     commands: IntCounterVec,
     bad_datagrams: IntCounter,
+    unreadable_messages: IntCounterVec,
+    message_format: IntGauge,
     permit_timeouts: IntCounter,
     limited_sends: IntCounterVec,
     target_ends: IntCounterVec,
@@ -82,6 +84,15 @@
                 "bad_datagrams_total",
                 "Datagrams that could not be sent or read.",
             ),
+            unreadable_messages: registry.counter_with_labels(
+                "unreadable_messages_total",
+                "Messages of other instances that cannot be read, by their first byte.",
+                &["format"],
+            ),
+            message_format: registry.gauge(
+                "message_format",
+                "Latest format of messages that all instances read.",
+            ),
             permit_timeouts: registry.counter(
                 "silent_holders_total",
                 "Questions for a permit that got no reply.",
@@ -206,6 +217,13 @@
         self.bad_datagrams.inc();
     }
 
+    /// Counts a message of another instance that cannot be read, by its first byte.
+    pub fn count_unreadable(&self, format: u8) {
+        self.unreadable_messages
+            .with_label_values(&[format!("{format:02x}")])
+            .inc();
+    }
+
     /// Counts a coordinator that did not reply to requests for a permit.
     pub fn count_permit_timeout(&self) {
         self.permit_timeouts.inc();
@@ -241,6 +259,7 @@
         self.is_leader.set(i64::from(context.is_leader()));
         self.active_requests
             .set(i64::from(context.active_requests.get()));
+        self.message_format.set(i64::from(context.formats.spoken()));
         self.instances.set(i64::from(context.instance_count.get()));
         self.avoided_targets
             .set(coordinator::avoided_targets(context) as i64);
--- a/crates/cowslipcross/src/peers.rs
+++ b/crates/cowslipcross/src/peers.rs
@@ -6,7 +6,11 @@
 
 mod assignments;
 pub mod datagram;
+pub mod extensible;
+pub mod formats;
 mod fragments;
 pub mod heartbeat_protocol;
 pub mod membership;
 pub mod message;
+#[cfg(test)]
+mod recorded_tests;
--- a/crates/cowslipcross/src/peers/datagram.rs
+++ b/crates/cowslipcross/src/peers/datagram.rs
@@ -5,6 +5,8 @@
         context::Context,
         peers::{
             assignments,
+            extensible::{self, ExtensibleMessage},
+            formats,
             fragments::{self, Reassembler},
             heartbeat_protocol,
             message::Message,
@@ -36,9 +38,9 @@
         }
     }
 
-    /// Returns the datagrams of a message; `None` if it is too long.
-    fn encode_datagrams(&self, message: &Message) -> Option<Vec<Vec<u8>>> {
-        let bytes = message.encode()?;
+    /// Returns the datagrams of an encoded message; `None` if it is too long or could not be encoded.
+    fn to_datagrams(&self, message: Option<Vec<u8>>) -> Option<Vec<Vec<u8>>> {
+        let bytes = message?;
         let number = self.next_number.get();
         self.next_number.set(number.wrapping_add(1));
         fragments::split(number, bytes)
@@ -58,13 +60,30 @@
         let Some(bytes) = reassembler.add_datagram(from, &buffer[..length], Instant::now()) else {
             continue;
         };
-        match Message::decode(&bytes) {
-            Some(message) => handle_message(&context, message, from),
-            None => context.metrics.count_bad_datagram(),
+        if handle_bytes(&context, &bytes, from).is_none() {
+            formats::record_unreadable(&context, &bytes, from);
         }
     }
 }
 
+/// Handles an encoded message; returns `None` if it cannot be read.
+fn handle_bytes(context: &Context, bytes: &[u8], from: SocketAddr) -> Option<()> {
+    match bytes.first() {
+        Some(&extensible::FORMAT_BYTE) => {
+            handle_extensible(context, ExtensibleMessage::decode(bytes)?, from);
+        }
+        _ => handle_message(context, Message::decode(bytes)?, from),
+    }
+    Some(())
+}
+
+fn handle_extensible(context: &Context, message: ExtensibleMessage, from: SocketAddr) {
+    match message {
+        ExtensibleMessage::Announcement(body) => formats::handle_announcement(context, body, from),
+        ExtensibleMessage::SpokenFormat(body) => formats::handle_spoken(context, body),
+    }
+}
+
 fn handle_message(context: &Context, message: Message, from: SocketAddr) {
     match message {
         Message::Heartbeat(body) => heartbeat_protocol::handle_heartbeat(context, body, from),
@@ -86,7 +105,16 @@
 /// Sends a message without waiting, as datagrams may be lost anyway: those that the socket cannot
 /// take at once are dropped and counted as bad ones.
 pub fn try_send(context: &Context, message: &Message, recipient: SocketAddr) {
-    let Some(datagrams) = context.peer_socket.encode_datagrams(message) else {
+    try_send_bytes(context, message.encode(), recipient);
+}
+
+/// Like [`try_send`], for messages with numbered fields.
+pub fn try_send_extensible(context: &Context, message: &ExtensibleMessage, recipient: SocketAddr) {
+    try_send_bytes(context, message.encode(), recipient);
+}
+
+fn try_send_bytes(context: &Context, message: Option<Vec<u8>>, recipient: SocketAddr) {
+    let Some(datagrams) = context.peer_socket.to_datagrams(message) else {
         return context.metrics.count_bad_datagram();
     };
     for datagram in datagrams {
@@ -103,7 +131,7 @@
 
 /// Sends a message to several instances, one after the other; waits until the socket accepts each.
 pub async fn send_to_all(context: &Context, message: &Message, recipients: &[SocketAddr]) {
-    let Some(datagrams) = context.peer_socket.encode_datagrams(message) else {
+    let Some(datagrams) = context.peer_socket.to_datagrams(message.encode()) else {
         return context.metrics.count_bad_datagram();
     };
     for address in recipients {
--- a/crates/cowslipcross/src/peers/heartbeat_protocol.rs
+++ b/crates/cowslipcross/src/peers/heartbeat_protocol.rs
@@ -7,7 +7,7 @@
         events::HybridTimestamp,
         lead::peer_reports,
         peers::{
-            assignments, datagram,
+            assignments, datagram, formats,
             membership::{self, Member, Membership},
             message::{InstanceReport, LeaderHeartbeat, Message, WireNotice},
         },
@@ -25,6 +25,8 @@
 
 /// Interval between reports to the leader.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Reports for each announcement of the formats that the instance reads.
+const REPORTS_PER_ANNOUNCEMENT: u64 = 2;
 /// Maximum number of keys in a report, for each service; of more the busiest are reported.
 const MAX_REPORTED_KEYS: usize = 100;
 /// Time since its last report after which an instance is no longer a member.
@@ -58,6 +60,7 @@
     }
     election.apply_heartbeat(heartbeat.leader_version, clock::local_time());
     drop(election);
+    formats::handle_heartbeat(context);
     context.leader_address.set(Some(from));
     context.last_heartbeat.set(Some(Instant::now()));
     context.instance_count.set(heartbeat.instance_count.max(1));
@@ -121,9 +124,12 @@
 /// Sends reports to the leader periodically; never returns.
 pub async fn send_reports(context: Rc<Context>) {
     let weight = membership::cpu_weight(context.settings.cpu);
-    loop {
+    for number in 0.. {
         sleep(REPORT_INTERVAL).await;
         let now = Instant::now();
+        if u64::is_multiple_of(number, REPORTS_PER_ANNOUNCEMENT) {
+            formats::announce(&context);
+        }
         let (crashes, lifted) = context.crashing_requests.borrow_mut().for_report(now);
         // Key counts are reset even if there is no leader to report to, as old counts say little.
         let report = InstanceReport {
@@ -155,9 +161,11 @@
     let count = membership.members().len().max(1) as u32;
     // A new leader lacks reports of some instances at first. A count that is too low would give
     // each instance too large a part of the limits that all share.
-    let count = match context.leader_since.get() {
-        Some(since) if since.elapsed() < MEMBER_TIMEOUT => count.max(context.instance_count.get()),
-        _ => count,
+    let led_for = context.leader_since.get().map(|since| since.elapsed());
+    let is_settled = led_for.is_none_or(|time| time >= MEMBER_TIMEOUT);
+    let count = match is_settled {
+        true => count,
+        false => count.max(context.instance_count.get()),
     };
     context.instance_count.set(count);
     crashing_requests::review_ends(context);
@@ -176,10 +184,12 @@
         lifted,
     });
     let own = context.settings.listen.heartbeats;
-    let others = membership.members().iter().map(|it| it.address);
-    let others: Vec<SocketAddr> = others.filter(|it| *it != own).collect();
+    let members = membership.members().iter().map(|it| it.address);
+    let members: Vec<SocketAddr> = members.collect();
+    let others: Vec<SocketAddr> = members.iter().copied().filter(|it| *it != own).collect();
     *context.membership.borrow_mut() = membership;
     datagram::send_to_all(context, &message, &others).await;
+    formats::tell_members(context, &members, is_settled);
 }
 
 /// Drops reports older than [`MEMBER_TIMEOUT`] and returns the instances that remain.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod attempts;
 pub mod crashes;
 pub mod election;
+pub mod formats;
 pub mod limits;
 pub mod names;
 pub mod owners;
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -32,12 +32,13 @@
     pub readiness_address: SocketAddr,
     /// Proxy through which the instance reaches the store.
     pub store_proxy: Proxy,
-    program_path: PathBuf,
+    /// Programs that the instance runs in turn, one after each restart.
+    programs: Vec<PathBuf>,
+    /// Starts of the process; the first one is that of the whole system.
+    start_count: usize,
     settings_path: PathBuf,
     log_path: PathBuf,
     child: Option<Child>,
-    /// Whether the process was started before; the first start is that of the whole system.
-    has_started: bool,
     started_at: Instant,
 }
 
@@ -49,12 +50,13 @@
 }
 
 impl Instance {
-    /// Starts an instance; its settings and its log are written to `work_directory`.
+    /// Starts an instance; its settings and its log are written to `work_directory`. After each restart it
+    /// runs the next of `programs`.
     ///
     /// # Errors
     /// Fails if the files cannot be written or the program does not start.
     pub async fn start(
-        program_path: &Path,
+        programs: Vec<PathBuf>,
         work_directory: &Path,
         name: &str,
         data_centre: &str,
@@ -81,11 +83,11 @@
             caller_address,
             readiness_address,
             store_proxy,
-            program_path: program_path.into(),
+            programs,
+            start_count: 0,
             settings_path,
             log_path: work_directory.join(format!("{name}.log")),
             child: None,
-            has_started: false,
             started_at: Instant::now(),
         };
         instance.spawn()?;
@@ -104,16 +106,17 @@
             .create(true)
             .append(true)
             .open(&self.log_path)?;
-        let mut command = Command::new(&self.program_path);
+        let program = &self.programs[self.start_count % self.programs.len()];
+        let mut command = Command::new(program);
         command
             .arg("--settings")
             .arg(&self.settings_path)
             .arg("--set")
-            .arg(format!("bootstrap={}", !self.has_started))
+            .arg(format!("bootstrap={}", self.start_count == 0))
             .stderr(log.try_clone()?)
             .stdout(log);
         self.child = Some(ports::spawn_process(&mut command)?);
-        self.has_started = true;
+        self.start_count += 1;
         self.started_at = Instant::now();
         Ok(())
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -31,6 +31,7 @@
     for seed in number("seed")..number("seed") + number("seeds") {
         let options = RunOptions {
             program_path: program_path.clone(),
+            former_path: matches.get_one::<PathBuf>("former").cloned(),
             work_directory: run::work_directory_path(seed),
             seed,
             fault_time: Duration::from_secs(number("seconds")),
@@ -125,5 +126,12 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Path of the cowslipcross program; by default the one built with this one"),
         )
+        .arg(
+            Arg::new("former")
+                .long("former")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Path of a former build: half of the instances start with it, restarts change between both"),
+        )
         .after_help(EXAMPLES)
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -57,6 +57,9 @@
 pub struct RunOptions {
     /// Path of the `cowslipcross` program.
     pub program_path: PathBuf,
+    /// Path of a former build: half of the instances start with it, and each restart of an instance
+    /// changes between the two.
+    pub former_path: Option<PathBuf>,
     /// Directory for settings and logs.
     pub work_directory: PathBuf,
     /// Seed of the random choices of callers and faults.
@@ -122,6 +125,16 @@
     })
 }
 
+/// Returns the programs that an instance runs in turn: every second one starts with the former build.
+fn list_programs(options: &RunOptions, number: usize) -> Vec<PathBuf> {
+    let latest = options.program_path.clone();
+    match &options.former_path {
+        None => vec![latest],
+        Some(former) if number.is_multiple_of(2) => vec![former.clone(), latest],
+        Some(former) => vec![latest, former.clone()],
+    }
+}
+
 async fn start_deployment(
     options: &RunOptions,
     observer: &Arc<TargetObserver>,
@@ -143,11 +156,10 @@
         }
         let view = links.last().map(InstanceLinks::store_address);
         let (name, store_address) = (format!("i{number}"), view.unwrap_or(store.address()));
-        let paths = (
-            options.program_path.as_path(),
-            options.work_directory.as_path(),
-        );
-        let instance = Instance::start(paths.0, paths.1, &name, data_centre, store_address).await?;
+        let directory = options.work_directory.as_path();
+        let programs = list_programs(options, number);
+        let instance =
+            Instance::start(programs, directory, &name, data_centre, store_address).await?;
         instances.push(Mutex::new(instance));
     }
     let deployment = Deployment {
