feat(permits): requests leave their data centre only if that pays

Cause: when all targets at home were full, if only for a moment, a free one elsewhere was taken at once. decide::spill compares the expected time at home, waiting included, with the goal and with the time elsewhere; the excess leaves, with hysteresis, and guests leave room for a data centre's own callers. In force for services with large responses, and by the setting link.

--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -40,6 +40,7 @@
     retries: IntCounterVec,
     targets: IntGauge,
     avoided_targets: IntGauge,
+    leaving_centres: IntGauge,
     unreadable_reports: IntGauge,
     config_version: IntGauge,
     is_leader: IntGauge,
@@ -126,6 +127,10 @@
                 "avoided_targets",
                 "Targets that the pools coordinated here avoid after failures.",
             ),
+            leaving_centres: registry.gauge(
+                "leaving_data_centres",
+                "Data centres whose requests leave them, over the pools coordinated here.",
+            ),
             unreadable_reports: registry.gauge(
                 "unreadable_reports",
                 "Reports of targets that cannot be read.",
@@ -272,6 +277,8 @@
         self.instances.set(i64::from(context.instance_count.get()));
         self.avoided_targets
             .set(coordinator::avoided_targets(context) as i64);
+        self.leaving_centres
+            .set(coordinator::leaving_centres(context) as i64);
         self.set_view_ages(ViewAges::from(context));
         self.set_organisations(&context.organisations);
         self.registry.render()
--- a/crates/cowslipcross/src/serve/coordinator.rs
+++ b/crates/cowslipcross/src/serve/coordinator.rs
@@ -21,6 +21,9 @@
 /// Interval at which the coordinator processes its queues.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Bandwidth of the instances' links in Mbit/s below which traffic between data centres counts as dear.
+const NARROW_LINK_MBPS: f64 = 500.0;
+
 /// State of the pools that this instance coordinates.
 #[derive(Default)]
 pub struct Coordinator {
@@ -44,6 +47,7 @@
     }
     let mut pools = context.coordinator.pools.borrow_mut();
     let pool = pools.entry(pool_key.clone()).or_default();
+    pool.keep_home(keeps_home(context, &pool_key));
     pool.update_targets(&targets, now);
     let reply = pool.request_permit(id, permit_request, now);
     drop(pools);
@@ -112,6 +116,13 @@
     times.collect()
 }
 
+/// Returns the number of data centres whose requests leave them because their targets are too few, over the
+/// pools coordinated here.
+pub fn leaving_centres(context: &Context) -> usize {
+    let pools = context.coordinator.pools.borrow();
+    pools.values().map(Pool::leaving_centres).sum()
+}
+
 /// Returns the number of targets that the pools coordinated here avoid because of failures.
 pub fn avoided_targets(context: &Context) -> usize {
     let now = Instant::now();
@@ -176,6 +187,17 @@
     permits::send_message(context, message, address);
 }
 
+/// Returns whether requests of a pool leave their data centre only if that pays: traffic between data
+/// centres is dear on narrow links, and for services with large responses.
+fn keeps_home(context: &Context, (service, owner): &PoolKey) -> bool {
+    let config = context.config.borrow();
+    let service = config.as_ref().and_then(|it| it.services.get(service));
+    let is_dear =
+        context.settings.link < NARROW_LINK_MBPS || service.is_some_and(|it| it.large_responses);
+    // A key has one owner, wherever its callers are.
+    owner.is_none() && is_dear
+}
+
 /// Returns the targets of a pool that may get requests.
 fn pool_targets(context: &Context, pool_key: &PoolKey, now: Instant) -> BTreeMap<Name, PoolTarget> {
     let (service, owner) = pool_key;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod relays;
 pub mod restarts;
 pub mod service_time;
+pub mod spill;
 pub mod traffic_split;
 pub mod verdict;
--- a/crates/decide/src/permits/mod.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -9,7 +9,12 @@
 mod target_state;
 
 use {
-    crate::{limits::RateLimit, names::Name, service_time},
+    crate::{
+        limits::RateLimit,
+        names::Name,
+        service_time,
+        spill::{CentreUse, ExpectedTimes, Place, Spill},
+    },
     std::{collections::BTreeMap, time::Duration},
     target_state::{Permit, Rank, TargetState},
     tokio::time::Instant,
@@ -130,6 +135,8 @@
 pub struct Pool<A: Ord> {
     targets: BTreeMap<Name, TargetState<A>>,
     queue: Vec<(PermitRequestId<A>, PermitRequest)>,
+    /// Which requests leave their data centre; `None` if they do whenever that is faster.
+    spill: Option<Spill>,
 }
 
 impl<A: Ord + Clone> Default for Pool<A> {
@@ -137,6 +144,7 @@
         Self {
             targets: BTreeMap::new(),
             queue: Vec::new(),
+            spill: None,
         }
     }
 }
@@ -157,6 +165,18 @@
         }
     }
 
+    /// Sets whether requests stay in their data centre unless leaving it pays.
+    pub fn keep_home(&mut self, keeps_home: bool) {
+        if keeps_home != self.spill.is_some() {
+            self.spill = keeps_home.then(Spill::default);
+        }
+    }
+
+    /// Returns the number of data centres whose requests leave at present because its targets are too few.
+    pub fn leaving_centres(&self) -> usize {
+        self.spill.as_ref().map_or(0, Spill::leaving_centres)
+    }
+
     /// Returns whether no request is queued and no permit is in use.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.targets.values().all(|it| it.permits.is_empty())
@@ -205,10 +225,16 @@
             .queue
             .iter()
             .filter(|(_, it)| it.priority <= request.priority);
+        let ahead_here = ahead.clone();
         let ahead = ahead.count();
-        if ahead == 0
-            && let Some(target) = self.choose_target(&id.0, &request, now)
-        {
+        // Requests that wait for a target in another data centre do not hold up those of this one.
+        let is_first = match self.spill {
+            None => ahead == 0,
+            Some(_) => !ahead_here
+                .into_iter()
+                .any(|(_, it)| it.data_centre == request.data_centre),
+        };
+        if is_first && let Some(target) = self.choose_target(&id.0, &request, now) {
             self.add_permit(id, &request, &target, now);
             return PermitReply::Granted(target);
         }
@@ -303,6 +329,7 @@
             let permit = Permit {
                 granted_at: now,
                 expires_at: request.deadline + PERMIT_GRACE,
+                is_guest: !target.is_local(request),
             };
             target.permits.insert(id, permit);
             target.take_token(now);
@@ -313,7 +340,12 @@
     /// Targets in the data centre of that instance are preferred while they are expected to meet the
     /// latency goal: the caller loses nothing, and no bytes cross between data centres. Cold targets
     /// are chosen only if the pool has no warm one without a limit, each up to its rate and its slots.
-    fn choose_target(&self, instance: &A, request: &PermitRequest, now: Instant) -> Option<Name> {
+    fn choose_target(
+        &mut self,
+        instance: &A,
+        request: &PermitRequest,
+        now: Instant,
+    ) -> Option<Name> {
         let mean = self.mean_service_time();
         let has_queue = !self.queue.is_empty();
         let accepts = |name: &Name, target: &TargetState<A>, has_queue: bool| {
@@ -336,9 +368,20 @@
             };
             (rank, time, name)
         });
-        let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        if let Some((_, _, name)) = best {
-            return Some(name.clone());
+        if let Some(mut spill) = self.spill.take() {
+            let ranked: Vec<_> = ranked
+                .map(|(rank, time, name)| (rank, time, name.clone()))
+                .collect();
+            let chosen = self.choose_by_place(&mut spill, request, ranked, now);
+            self.spill = Some(spill);
+            if let Some(chosen) = chosen {
+                return chosen;
+            }
+        } else {
+            let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            if let Some((_, _, name)) = best {
+                return Some(name.clone());
+            }
         }
         let mut all = self.targets.values();
         if all.any(|it| it.is_unlimited()) {
@@ -349,6 +392,91 @@
         found.map(|(name, _)| name.clone())
     }
 
+    /// Returns the target of a request that leaves its data centre only if that pays: `Some(None)` if it
+    /// waits at home, and `None` if there is no warm target without a limit that it could wait for.
+    fn choose_by_place(
+        &self,
+        spill: &mut Spill,
+        request: &PermitRequest,
+        accepting: Vec<(Rank, f64, Name)>,
+        now: Instant,
+    ) -> Option<Option<Name>> {
+        let uses = self.centre_uses();
+        let is_home = |name: &Name| self.targets[name].is_local(request);
+        let takes_guest = |name: &Name| {
+            let data_centre = &self.targets[name].info.data_centre;
+            uses.get(data_centre).is_none_or(CentreUse::takes_guest)
+        };
+        let by_rank = |a: &&(Rank, f64, Name), b: &&(Rank, f64, Name)| {
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        };
+        let at_home = accepting.iter().filter(|it| is_home(&it.2));
+        let at_home = at_home.min_by(by_rank);
+        let elsewhere = accepting
+            .iter()
+            .filter(|it| !is_home(&it.2) && takes_guest(&it.2));
+        let elsewhere = elsewhere.min_by(by_rank);
+        let is_sound = |it: &&(Rank, f64, Name)| it.0 != Rank::Failing;
+        if at_home.is_none() && self.wait_at_home(request).is_none() {
+            let best = accepting.iter().min_by(by_rank);
+            return best.map(|(_, _, name)| Some(name.clone()));
+        }
+        let home_time = match at_home.filter(is_sound) {
+            Some((_, time, _)) => Some(*time),
+            None => self.wait_at_home(request),
+        };
+        let times = ExpectedTimes {
+            home: home_time,
+            elsewhere: elsewhere.filter(is_sound).map(|(_, time, _)| *time),
+            goal: request
+                .latency_goal
+                .saturating_duration_since(now)
+                .as_secs_f64(),
+        };
+        let chosen = match spill.choose_place(&request.data_centre, times) {
+            Place::Home => at_home,
+            Place::Elsewhere => elsewhere.or(at_home),
+        };
+        match chosen {
+            Some((_, _, name)) => Some(Some(name.clone())),
+            None if home_time.is_some() => Some(None),
+            None => None,
+        }
+    }
+
+    /// Returns the expected seconds until a queued request is answered by a target in its data centre;
+    /// `None` if there is no warm one without a limit.
+    fn wait_at_home(&self, request: &PermitRequest) -> Option<f64> {
+        let service_time = self.mean_service_time();
+        let home = self.targets.values();
+        let home = home.filter(|it| it.is_local(request) && it.is_unlimited());
+        let throughput: f64 = home.map(|it| it.throughput(service_time)).sum();
+        let waiting = self.queue.iter().filter(|(_, it)| {
+            it.data_centre == request.data_centre
+                && (it.priority, it.latency_goal) < (request.priority, request.latency_goal)
+        });
+        let ahead = waiting.count() as f64 + 1.0;
+        (throughput > 0.0).then(|| ahead / throughput + service_time)
+    }
+
+    /// Returns the use of each data centre's targets.
+    fn centre_uses(&self) -> BTreeMap<Name, CentreUse> {
+        let mut uses: BTreeMap<Name, CentreUse> = BTreeMap::new();
+        for target in self.targets.values() {
+            let centre = uses.entry(target.info.data_centre.clone()).or_default();
+            let guests = target.permits.values().filter(|it| it.is_guest).count() as u32;
+            centre.slots += target.info.slots;
+            centre.guests += guests;
+            centre.own += target.permits.len() as u32 - guests;
+        }
+        for (_, request) in &self.queue {
+            if let Some(centre) = uses.get_mut(&request.data_centre) {
+                centre.waiting += 1;
+            }
+        }
+        uses
+    }
+
     /// Returns the time after which the caller should come back, if a request behind `ahead` others
     /// cannot be served in time.
     fn refusal_wait(
--- a/crates/decide/src/permits/target_state.rs
+++ b/crates/decide/src/permits/target_state.rs
@@ -44,6 +44,8 @@
 pub(super) struct Permit {
     pub granted_at: Instant,
     pub expires_at: Instant,
+    /// Whether the caller is in another data centre than the target.
+    pub is_guest: bool,
 }
 
 /// Order in which targets are considered.
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -53,6 +53,14 @@
     description: "CPU cores of the instance; more make it a likelier leader and pool coordinator.",
 };
 
+const LINK_FIELD: Field = Field {
+    path: "link",
+    data_type: DataType::Decimal,
+    unit: "Mbit/s",
+    default: Some("1000"),
+    description: "Bandwidth of the instance's link; on narrow ones requests leave their data centre only if that pays.",
+};
+
 const BOOTSTRAP_FIELD: Field = Field {
     path: "bootstrap",
     data_type: DataType::Flag,
@@ -72,6 +80,8 @@
     pub store: SocketAddr,
     /// Number of CPU cores available to the instance, such as 0.5.
     pub cpu: f64,
+    /// Bandwidth of the instance's link in Mbit/s.
+    pub link: f64,
     /// Whether the whole system starts for the first time, so that no target can own keys yet.
     pub bootstrap: bool,
     /// Bearer token for `/status` and `/events`; if empty, all requests to them are denied.
@@ -108,6 +118,7 @@
         data_centre: root.read_text(&DATA_CENTRE_FIELD)?,
         store: root.read_address(&STORE_FIELD)?,
         cpu: root.read_decimal(&CPU_FIELD)?,
+        link: root.read_decimal(&LINK_FIELD)?,
         bootstrap: root.read_flag(&BOOTSTRAP_FIELD)?,
         token: root.read_text(&TOKEN_FIELD)?,
         listen: ListenAddresses::from_root(root)?,
@@ -121,6 +132,7 @@
         DATA_CENTRE_FIELD,
         STORE_FIELD,
         CPU_FIELD,
+        LINK_FIELD,
         BOOTSTRAP_FIELD,
         TOKEN_FIELD,
     ],
