feat(settings): fields of a file that a build does not know are ignored and logged

Cause: a build exits on them, so that no field could be added to the template while an older build runs beside (found with the setting link: does not start with it). Flags are still rejected.

--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -75,6 +75,9 @@
     107 TASK_FAILED Error None; "task failed to start: {detail}";
         "A task of the process could not start; the process runs without it.";
         "Restart the process; look at the detail if it fails again.";
+    108 SETTINGS_IGNORED Warn None; "settings not known: {detail}";
+        "The settings file has fields that this build does not know; they have no effect.";
+        "Nothing, if the file was written for a later build; otherwise correct the names.";
     206 ASSIGNMENTS_UPDATED Info None; "assignments updated: {detail}";
         "The instance uses a later version of a service's assignments."; "Nothing.";
     210 ASSIGNMENTS_RECORDED Info None; "assignments recorded: {detail}";
--- a/crates/cowslipcross/src/instance.rs
+++ b/crates/cowslipcross/src/instance.rs
@@ -94,6 +94,10 @@
 }
 
 fn record_start(context: &Context) {
+    if !context.settings.ignored.is_empty() {
+        let detail = context.settings.ignored.join(", ");
+        context.record_event(events::SETTINGS_IGNORED, detail);
+    }
     let detail = format!(
         "callers {}, store {}",
         context.settings.listen.callers, context.settings.store
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -5,7 +5,7 @@
         error::Result,
         field::{DataType, Field},
         overrides::Overrides,
-        reader::{self, Section},
+        reader::{self, Section, UnknownFields},
     },
     cowslip_decide::names::Name,
     std::{collections::BTreeMap, net::SocketAddr, path::Path},
@@ -73,7 +73,13 @@
 /// # Errors
 /// Fails if the text is not valid TOML or a value is not valid.
 pub fn parse(text: &str, file: &str, overrides: &Overrides) -> Result<OperatorSettings> {
-    reader::parse(text, file, FIELDS, overrides, read_settings)
+    reader::parse(
+        text,
+        file,
+        (FIELDS, UnknownFields::Rejected),
+        overrides,
+        read_settings,
+    )
 }
 
 fn read_settings(root: &Section<'_>) -> Result<OperatorSettings> {
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -8,7 +8,7 @@
         error::Result,
         field::{DataType, Field},
         overrides::Overrides,
-        reader::{self, Section},
+        reader::{self, Section, UnknownFields},
     },
     bounds::Bounds,
     cowslip_decide::names::Name,
@@ -90,6 +90,8 @@
     pub listen: ListenAddresses,
     /// Time limits and retry budget of the deployment.
     pub bounds: Bounds,
+    /// Locations and paths of the file's fields that this build does not know.
+    pub ignored: Vec<String>,
 }
 
 /// All fields, in the order of the docs.
@@ -109,7 +111,13 @@
 /// # Errors
 /// Fails if the text is not valid TOML or a value is not valid.
 pub fn parse(text: &str, file: &str, overrides: &Overrides) -> Result<ProcessSettings> {
-    reader::parse(text, file, FIELDS, overrides, read_settings)
+    reader::parse(
+        text,
+        file,
+        (FIELDS, UnknownFields::Ignored),
+        overrides,
+        read_settings,
+    )
 }
 
 fn read_settings(root: &Section<'_>) -> Result<ProcessSettings> {
@@ -123,6 +131,7 @@
         token: root.read_text(&TOKEN_FIELD)?,
         listen: ListenAddresses::from_root(root)?,
         bounds: Bounds::from_root(root)?,
+        ignored: root.ignored_fields(),
     })
 }
 
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -9,6 +9,7 @@
     cowslip_adapter::text::parse_duration,
     cowslip_decide::names::Name,
     std::{
+        cell::RefCell,
         collections::{BTreeMap, BTreeSet},
         fs,
         net::SocketAddr,
@@ -42,7 +43,7 @@
 pub(crate) fn parse<T>(
     text: &str,
     file: &str,
-    fields: &'static [Field],
+    (fields, unknown): (&'static [Field], UnknownFields),
     overrides: &Overrides,
     read: impl FnOnce(&Section<'_>) -> Result<T>,
 ) -> Result<T> {
@@ -50,12 +51,23 @@
         file: file.into(),
         text,
         fields,
+        unknown,
+        ignored: RefCell::default(),
     };
     let mut table = source.parse()?;
     overrides.apply(table.get_mut())?;
     read(&source.read_root(&table)?)
 }
 
+/// What happens to fields of a file that the program does not know; those of flags are always rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnknownFields {
+    /// Reading fails.
+    Rejected,
+    /// They are listed: a file may be written for a later build.
+    Ignored,
+}
+
 /// Text of a settings file, with the fields allowed in it.
 struct Source<'a> {
     /// Path of the file, for errors.
@@ -64,6 +76,9 @@
     text: &'a str,
     /// All fields that the file may contain.
     fields: &'static [Field],
+    unknown: UnknownFields,
+    /// Locations and paths of the fields that were ignored.
+    ignored: RefCell<Vec<String>>,
 }
 
 /// A table of the file; one that is missing counts as empty.
@@ -120,6 +135,11 @@
 }
 
 impl<'a> Section<'a> {
+    /// Returns the locations and paths of the unknown fields that were ignored so far.
+    pub fn ignored_fields(&self) -> Vec<String> {
+        self.source.ignored.borrow().clone()
+    }
+
     /// Returns the integer of a field, or its default.
     pub fn read_integer(&self, field: &Field) -> Result<u64> {
         match self.find_value(field.key()) {
@@ -274,10 +294,17 @@
             if keys.contains("*") || keys.contains(key.get_ref().as_ref()) {
                 continue;
             }
+            let location = self.source.find_location(&key.span());
+            let path = join_path(&self.path, key.get_ref());
+            if self.source.unknown == UnknownFields::Ignored && location != Location::Flag {
+                let mut ignored = self.source.ignored.borrow_mut();
+                ignored.push(format!("{location}: {path}"));
+                continue;
+            }
             let names: Vec<_> = keys.iter().copied().collect();
             return Err(Error::UnknownField {
-                location: self.source.find_location(&key.span()),
-                path: join_path(&self.path, key.get_ref()),
+                location,
+                path,
                 expected: format!("one of {}", names.join(", ")),
             });
         }
