--- a/crates/cowslipctl/src/cli.rs
+++ b/crates/cowslipctl/src/cli.rs
@@ -17,7 +17,9 @@
 const CHECK_EXAMPLES: &str = "\
 Examples:
   cowslipctl check configuration.json
-  cowslipctl check configuration.json --json";
+  cowslipctl check configuration.json --json
+  cowslipctl check configuration.json --against in-force.json
+  cowslipctl check configuration.json --against store --set store=10.1.0.2:8000";
 
 const SHOW_EXAMPLES: &str = "\
 Examples:
@@ -73,7 +75,13 @@
         )
         .subcommand(
             build_subcommand("check", "Validate a configuration file", CHECK_EXAMPLES)
-                .arg(configuration_file()),
+                .arg(configuration_file())
+                .arg(
+                    Arg::new("against")
+                        .long("against")
+                        .value_name("FILE|store")
+                        .help("Also show what differs from this configuration, or from the one in the store"),
+                ),
         )
         .subcommand(build_subcommand(
             "show",
--- a/crates/cowslipctl/src/commands.rs
+++ b/crates/cowslipctl/src/commands.rs
@@ -54,7 +54,16 @@
         return Err(Error::MissingInput("expected a subcommand".to_owned()));
     };
     if name == "check" {
-        return configuration::check_file(required_path(matches, "file"));
+        let next = configuration::read_file(required_path(matches, "file"))?;
+        let against = match matches.get_one::<String>("against").map(String::as_str) {
+            None => None,
+            Some("store") => {
+                let settings = settings_loader::load_settings(matches)?;
+                Some(configuration::read_stored(&settings).await?)
+            }
+            Some(file) => Some(configuration::read_file(Path::new(file))?),
+        };
+        return configuration::check(&next, against.as_ref());
     }
     if name == "explain" {
         return explain::explain_request(matches);
--- a/crates/cowslipctl/src/lib.rs
+++ b/crates/cowslipctl/src/lib.rs
@@ -9,5 +9,7 @@
 pub mod timeline;
 
 mod configuration;
+mod differences;
+mod review;
 mod settings_loader;
 mod status;
--- a/crates/cowslipctl/tests/commands.rs
+++ b/crates/cowslipctl/tests/commands.rs
@@ -2,7 +2,7 @@
 
 use {
     cowslip_adapter_standins::{
-        config::build_config,
+        config::{build_config, build_config_with_organisations},
         store::{FakeStore, StoreMode},
     },
     cowslip_decide::names::Incarnation,
@@ -261,3 +261,73 @@
     let args = ["timeline", token_flag, &first, "--json", "--format=svg"];
     assert_eq!(run(&args).await.0, 2);
 }
+
+#[tokio::test]
+async fn check_warns_of_entries_without_effect_and_of_limits_that_contradict_each_other() {
+    let dir = TestDir::new("check-warnings");
+    let organisations = [
+        ("a", &["secret-1"][..], 1, 10, 10),
+        ("b", &["secret-1"][..], 1, 10, 0),
+        ("c", &[][..], 1, 0, 0),
+    ];
+    let text = build_config_with_organisations("r6", &organisations, false);
+    let text = text
+        .replace("\"nowhere\"", "\"boards\"")
+        .replace("/lost/", "/book/")
+        .replace("\"600ms\"", "\"9000ms\"")
+        .replace("\"15000ms\"", "\"1000ms\"");
+    let file = dir.write("next.json", &text);
+    let (code, out, error) = run(&["check", &file]).await;
+    assert_eq!(code, 0, "{error}");
+    for expected in [
+        "route lost never matches: book has the same host and prefix",
+        "route lookup: its timeout of 3000 ms is shorter than its latency goal of 9000 ms",
+        "limits: a request head may take 3000 ms, but a connection is idle for 1000 ms at most",
+        "organisation b: one of its API keys belongs to a",
+        "organisation b: a burst of 0",
+        "organisation c can send nothing",
+    ] {
+        assert!(
+            out.contains(&format!("warning: {expected}")),
+            "{expected}: {out}"
+        );
+    }
+    assert!(!out.contains("secret"), "{out}");
+}
+
+#[tokio::test]
+async fn check_shows_what_differs_from_the_configuration_in_force() {
+    let dir = TestDir::new("check-against");
+    let config = |version, keys: &[&str], rate| {
+        let organisations = [("a", keys, 1, rate, rate)];
+        let text = build_config_with_organisations(version, &organisations, false);
+        text.replace("\"nowhere\"", "\"boards\"")
+    };
+    let in_force = config("r5", &["secret-1", "secret-2"], 10);
+    let store = FakeStore::start().await;
+    store.put("op", "config", in_force.as_bytes());
+    let in_force = dir.write("in-force.json", &in_force);
+    let next = config("r6", &["secret-2", "secret-3", "secret-4"], 20).replace("lost", "found");
+    let next = dir.write("next.json", &next);
+    let store = format!("store={}", store.address());
+    for against in [
+        vec!["--against", &in_force],
+        vec!["--against", "store", "--set", &store],
+    ] {
+        let (code, out, error) = run(&[vec!["check", &next], against].concat()).await;
+        assert_eq!(code, 0, "{error}");
+        for expected in [
+            "route found: added",
+            "route lost: removed",
+            "organisation a: 2 API keys added, 1 taken away",
+            "rate: 20.0",
+        ] {
+            assert!(out.contains(expected), "{expected}: {out}");
+        }
+        assert!(!out.contains("secret"), "{out}");
+    }
+    let (code, out, _) = run(&["check", &in_force, "--against", &next]).await;
+    assert_eq!((code, out.as_str()), (1, ""), "an older version is ignored");
+    let (code, out, _) = run(&["check", &next]).await;
+    assert!(code == 0 && !out.contains("change:"), "{out}");
+}
