test(soak): callers belong to organisations, of which one has a limit (--organisations)

QUOTA is checked over all instances whatever happens to them, and that no valid key is refused. Each check was seen to report its violation (suite checks).

--- a/crates/cowslipcross/src/serve/organisations_tests.rs
+++ b/crates/cowslipcross/src/serve/organisations_tests.rs
@@ -4,7 +4,7 @@
     super::{Organisations, rank},
     crate::serve::request::BadRequest,
     cowslip_adapter::config::Config,
-    cowslip_adapter_standins::config::build_config_with_organisations,
+    cowslip_adapter_standins::config::{build_config, with_organisations},
     cowslip_decide::names::Name,
 };
 
@@ -13,7 +13,7 @@
         ("first", keys, 1, 10, 10),
         ("second", &["shared"][..], 0, 0, 0),
     ];
-    let text = build_config_with_organisations(version, &rows, false);
+    let text = with_organisations(&build_config(version, "boards"), &rows, false);
     let mut config = Config::try_from(text.as_bytes()).expect("a configuration");
     organisations.replace(&mut config);
     let left = config.organisations.expect("organisations");
--- a/crates/cowslipcross/tests/instance/organisations.rs
+++ b/crates/cowslipcross/tests/instance/organisations.rs
@@ -3,7 +3,7 @@
 use {
     crate::deployment::{Deployment, TOKEN, booking_request, lookup_request, wait_until},
     bytes::Bytes,
-    cowslip_adapter_standins::config::{SampleOrganisation, build_config_with_organisations},
+    cowslip_adapter_standins::config::{SampleOrganisation, build_config, with_organisations},
     futures_util::future::join_all,
     http::{HeaderMap, HeaderValue, Request, StatusCode},
     http_body_util::Full,
@@ -45,7 +45,7 @@
     organisations: &[SampleOrganisation<'_>],
     public: bool,
 ) {
-    let config = build_config_with_organisations(version, organisations, public);
+    let config = with_organisations(&build_config(version, "boards"), organisations, public);
     deployment.store.put("op", "config", config.as_bytes());
     sleep(CONFIG_APPLY).await;
 }
@@ -90,7 +90,7 @@
         }
     }
     // Values of the wrong kind are not shown, either.
-    let config = build_config_with_organisations("r7", &[UNLIMITED], false);
+    let config = with_organisations(&build_config("r7", "boards"), &[UNLIMITED], false);
     let config = config.replace(
         &format!("[\"{KEY}\",\"{OTHER_KEY}\"]"),
         &format!("\"{KEY}\""),
--- a/crates/cowslipctl/tests/commands.rs
+++ b/crates/cowslipctl/tests/commands.rs
@@ -2,7 +2,7 @@
 
 use {
     cowslip_adapter_standins::{
-        config::{build_config, build_config_with_organisations},
+        config::{build_config, with_organisations},
         store::{FakeStore, StoreMode},
     },
     cowslip_decide::names::Incarnation,
@@ -270,7 +270,7 @@
         ("b", &["secret-1"][..], 1, 10, 0),
         ("c", &[][..], 1, 0, 0),
     ];
-    let text = build_config_with_organisations("r6", &organisations, false);
+    let text = with_organisations(&build_config("r6", "boards"), &organisations, false);
     let text = text
         .replace("\"nowhere\"", "\"boards\"")
         .replace("/lost/", "/book/")
@@ -300,7 +300,7 @@
     let dir = TestDir::new("check-against");
     let config = |version, keys: &[&str], rate| {
         let organisations = [("a", keys, 1, rate, rate)];
-        let text = build_config_with_organisations(version, &organisations, false);
+        let text = with_organisations(&build_config(version, "boards"), &organisations, false);
         text.replace("\"nowhere\"", "\"boards\"")
     };
     let in_force = config("r5", &["secret-1", "secret-2"], 10);
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,7 +1,10 @@
 //! Simulated callers, which reuse their connections for as long as these stay open.
 
 use {
-    crate::history::{History, Outcome, RequestKind, RequestRecord},
+    crate::{
+        history::{History, Outcome, RequestKind, RequestRecord},
+        organisations,
+    },
     bytes::Bytes,
     http::Request,
     http_body_util::{BodyExt, Full},
@@ -50,7 +53,8 @@
             continue;
         };
         let (id, kind) = (format!("{number}-{count}"), draw_kind(&mut random));
-        let request = build_request(kind, &id, draw_key(&mut random));
+        let key = (draw_key(&mut random), organisations::api_key(number));
+        let request = build_request(kind, &id, key);
         let sent_at = Instant::now();
         let outcome = exchange(&mut connection, request, &id).await;
         if matches!(outcome, Outcome::Response(..)) {
@@ -74,7 +78,11 @@
     Some(
         exchange(
             &mut connection,
-            build_request(RequestKind::Removal, id, key),
+            build_request(
+                RequestKind::Removal,
+                id,
+                (key, organisations::unlimited_key()),
+            ),
             id,
         )
         .await,
@@ -96,7 +104,7 @@
     }
 }
 
-fn build_request(kind: RequestKind, id: &str, key: u64) -> Request<Full<Bytes>> {
+fn build_request(kind: RequestKind, id: &str, (key, api_key): (u64, &str)) -> Request<Full<Bytes>> {
     let (method, path) = match kind {
         RequestKind::Lookup => ("GET", "/lookup/x"),
         RequestKind::Removal => ("POST", "/remove/x"),
@@ -108,6 +116,7 @@
         .header("host", "front.example")
         .header("x-request-id", id)
         .header("x-shard-key", key.to_string())
+        .header("x-credential", api_key)
         .header("x-deadline-ms", REQUEST_DEADLINE.as_millis().to_string())
         .body(Full::new(Bytes::copy_from_slice(id.as_bytes())))
         .expect("a valid request")
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -5,6 +5,7 @@
         history::{EventKind, History},
         instance::Instance,
         links::InstanceLinks,
+        organisations,
         proxy::ProxyMode,
         targets::{DATA_CENTRES, ProxiedTarget},
     },
@@ -50,6 +51,8 @@
     pub instances: Vec<Mutex<Instance>>,
     /// Links of each instance to the targets; empty if none are cut.
     pub links: Vec<InstanceLinks>,
+    /// Whether callers belong to organisations.
+    pub organisations: bool,
     /// History of the run.
     pub history: History,
     /// One lock a data centre: its withdrawals run one after another, as the end of one would
@@ -436,7 +439,10 @@
     if let Some(previous) = previous_event {
         deployment.history.end_event(previous);
     }
-    let text = build_config(&format!("r{}", 7 * version + 1), service);
+    let mut text = build_config(&format!("r{}", 7 * version + 1), service);
+    if deployment.organisations {
+        text = organisations::add_organisations(&text);
+    }
     deployment.store.put("op", "config", text.as_bytes());
     let event = deployment
         .history
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod limits;
 pub mod links;
 mod notices;
+pub mod organisations;
 pub mod proxy;
 pub mod run;
 pub mod targets;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,6 +39,7 @@
             drills: matches.get_flag("drills"),
             limits: matches.get_flag("limits"),
             cuts: matches.get_flag("cuts"),
+            organisations: matches.get_flag("organisations"),
         };
         match runtime.block_on(run::run_deployment(&options)) {
             Ok(report) if report.violations.is_empty() => {
@@ -119,6 +120,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also cut instances off from all targets"),
         )
+        .arg(
+            Arg::new("organisations")
+                .long("organisations")
+                .action(ArgAction::SetTrue)
+                .help("Callers belong to organisations, of which one has a limit"),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -12,6 +12,7 @@
         history::{History, HistoryData, Outcome},
         instance::Instance,
         links::InstanceLinks,
+        organisations,
         targets::{DATA_CENTRES, ProxiedTarget, REPORT_INTERVAL},
     },
     cowslip_adapter_standins::{observer::TargetObserver, store::FakeStore},
@@ -75,6 +76,8 @@
     pub limits: bool,
     /// Whether instances are also cut off from all targets.
     pub cuts: bool,
+    /// Whether callers belong to organisations, of which one has a limit.
+    pub organisations: bool,
 }
 
 /// Result of a run.
@@ -116,6 +119,10 @@
     // The observer has checked the grants (`OWNER`, `FENCE`).
     let mut violations = observer.violations();
     violations.extend(guarantees::find_violations(&data, &observer.arrivals()));
+    if options.organisations {
+        let arrivals = observer.arrivals();
+        violations.extend(organisations::check_organisations(&data, &arrivals));
+    }
     violations.extend(exited);
     violations.extend(unserved);
     Ok(RunReport {
@@ -167,6 +174,7 @@
         targets,
         instances,
         links,
+        organisations: options.organisations,
         history: History::default(),
         withdrawal_locks: Default::default(),
         config_state: Mutex::default(),
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -5,6 +5,7 @@
     cowslip_soak::{
         guarantees::find_violations,
         history::{Event, EventKind, HistoryData, Outcome, RequestKind, RequestRecord},
+        organisations::check_organisations,
     },
     std::time::Duration,
     tokio::time::Instant,
@@ -316,3 +317,28 @@
     let restart = vec![new_event(start, 3000, Some(4500), killed)];
     assert!(check(46, 9000, restart).is_empty());
 }
+
+#[test]
+fn an_organisation_that_gets_more_than_its_allotment_is_reported() {
+    let start = Instant::now();
+    // Callers 0 and 1: one of the limited organisation, and one without a limit.
+    let arrivals = |caller: u64, count: u64| -> Vec<Arrival> {
+        let arrive = |number: u64| Arrival {
+            request_id: format!("{caller}-{number}"),
+            ..new_arrival(start, 50 * number, true)
+        };
+        (0..count).map(arrive).collect()
+    };
+    let history = HistoryData::default();
+    assert_eq!(check_organisations(&history, &arrivals(0, 86)), [""; 0]);
+    assert_eq!(check_organisations(&history, &arrivals(1, 100)), [""; 0]);
+    let violations = check_organisations(&history, &arrivals(0, 87));
+    assert!(violations[0].starts_with("QUOTA: 87"), "{violations:?}");
+    let denied = new_request(start, 0, RequestKind::Lookup, Outcome::Response(401, true));
+    let history = HistoryData {
+        requests: vec![denied],
+        ..HistoryData::default()
+    };
+    let violations = check_organisations(&history, &[]);
+    assert!(violations[0].starts_with("DENIED: 1"), "{violations:?}");
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -48,18 +48,23 @@
 /// Seed and seconds of the short run in which instances are cut off from all targets.
 const CUT_RUN: (u64, u64) = (10_003, 14);
 
+/// Seed and seconds of the short run in which callers belong to organisations.
+const ORGANISATIONS_RUN: (u64, u64) = (11_001, 14);
+
 /// Faults that are played beside the usual ones.
 #[derive(Clone, Copy)]
 struct FurtherFaults {
     drills: bool,
     limits: bool,
     cuts: bool,
+    organisations: bool,
 }
 
 const NO_FURTHER: FurtherFaults = FurtherFaults {
     drills: false,
     limits: false,
     cuts: false,
+    organisations: false,
 };
 const DRILLS: FurtherFaults = FurtherFaults {
     drills: true,
@@ -75,6 +80,11 @@
     ..NO_FURTHER
 };
 
+const ORGANISATIONS: FurtherFaults = FurtherFaults {
+    organisations: true,
+    ..NO_FURTHER
+};
+
 async fn check_guarantees(seed: u64, seconds: u64, further: FurtherFaults) {
     let options = RunOptions {
         program_path: run::find_program().expect("cowslipcross is built"),
@@ -86,6 +96,7 @@
         drills: further.drills,
         limits: further.limits,
         cuts: further.cuts,
+        organisations: further.organisations,
     };
     let report = run::run_deployment(&options)
         .await
@@ -126,6 +137,11 @@
     check_guarantees(CUT_RUN.0, CUT_RUN.1, CUTS).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_while_organisations_have_limits() {
+    check_guarantees(ORGANISATIONS_RUN.0, ORGANISATIONS_RUN.1, ORGANISATIONS).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_that_failed_once_pass() {
     let runs = FAILED_RUNS
