fix(serve): a connection that the target resets at once is not used

Cause: a target resets connections beyond those that it accepts. A request that was sent on one meanwhile ended with 502, or 504, though no target had read it, and its caller could not repeat an order. An opened connection is now used after 2 ms unless it was reset; nothing is sent then, and the request is tried again or refused with 503. Seen to fail: without the wait, the test of the reset gets a connection.

--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -22,7 +22,7 @@
     tokio::{
         net::TcpStream,
         task::{JoinHandle, spawn_local},
-        time::{Instant, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -30,6 +30,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time within which a target that runs accepts a connection. The request that was lost waits for it.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time within which a target resets a connection beyond those that it accepts; longer than the way to
+/// another data centre of the region and back.
+const RESET_TIME: Duration = Duration::from_micros(2_000);
 /// Time without acknowledgement of sent data after which TCP closes the connection, as the target
 /// does not answer any more.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -53,7 +56,8 @@
 /// Why no connection is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectError {
-    /// This instance has as many connections to the target as it may have.
+    /// This instance has as many connections to the target as it may have, or the target as many as it
+    /// accepts.
     LimitReached,
     /// Nothing listens at the address.
     Closed,
@@ -118,6 +122,15 @@
     }
 }
 
+impl Connection {
+    /// Returns whether the target has reset the connection as soon as it was open. A request that was sent
+    /// meanwhile might have run for all that its sender knows.
+    async fn is_reset(&self) -> bool {
+        sleep(RESET_TIME).await;
+        self.sender.is_closed()
+    }
+}
+
 impl TargetConnections {
     /// Creates the state for a target without opening a connection.
     pub fn new(target: &TargetReport) -> Self {
@@ -201,6 +214,7 @@
         let counted = CounterGuard::new(&self.open_count);
         let opened = timeout(CONNECT_TIMEOUT, connect(self.address)).await;
         match opened {
+            Ok(Ok(connection)) if connection.is_reset().await => Err(ConnectError::LimitReached),
             Ok(Ok(connection)) => {
                 self.avoid_until.set(None);
                 self.opened_at.set(Some(Instant::now()));
@@ -227,8 +241,12 @@
     pub async fn check(&self) -> Result<(), ConnectError> {
         // Connections to a target that has ended may still be counted.
         let opened = timeout(CHECK_TIMEOUT, self.open(u32::MAX)).await;
-        let connection = opened.unwrap_or(Err(ConnectError::Failed))?;
-        self.return_idle(connection, None);
+        match opened.unwrap_or(Err(ConnectError::Failed)) {
+            Ok(connection) => self.return_idle(connection, None),
+            // Only a target that runs resets connections beyond those that it accepts.
+            Err(ConnectError::LimitReached) => {}
+            Err(error) => return Err(error),
+        }
         Ok(())
     }
 
--- a/crates/cowslipcross/src/serve/target_connections_tests.rs
+++ b/crates/cowslipcross/src/serve/target_connections_tests.rs
@@ -4,7 +4,11 @@
     super::{ConnectError, TargetConnections},
     cowslip_adapter::targets::TargetReport,
     std::{future::ready, net::SocketAddr, time::Duration},
-    tokio::{net::TcpListener, select, task::LocalSet},
+    tokio::{
+        net::TcpListener,
+        select,
+        task::{LocalSet, spawn_local},
+    },
 };
 
 fn connections_to(address: SocketAddr) -> TargetConnections {
@@ -62,3 +66,31 @@
         })
         .await;
 }
+
+/// Guards against an answer that says that a request may have run, although no target had read it.
+#[tokio::test]
+async fn a_connection_that_the_target_resets_at_once_is_not_used() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let connections = connections_to(listener.local_addr().expect("an address"));
+    LocalSet::new()
+        .run_until(async {
+            spawn_local(async move {
+                loop {
+                    let (stream, _) = listener.accept().await.expect("a connection");
+                    // Resets the connection when it is dropped.
+                    stream.set_zero_linger().expect("a socket");
+                }
+            });
+            let opened = connections.open(2).await;
+            assert_eq!(opened.err(), Some(ConnectError::LimitReached));
+            assert!(!connections.has_idle());
+            assert_eq!(connections.check().await, Ok(()), "the target runs");
+            // Neither of them counts as open.
+            assert_eq!(
+                connections.open(1).await.err(),
+                Some(ConnectError::LimitReached)
+            );
+            assert_eq!(connections.open_count.get(), 0);
+        })
+        .await;
+}
