fix(permits): a closed connection counts as a sign of a restart only if no other request runs at the target

Cause: targets that reset connections when they are full counted as cold for some tens of milliseconds each time. A target that ends closes all its connections: the last request that comes back shows it. Refused connections count at once.

--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -119,8 +119,6 @@
     };
     if let Some(TargetLife::Ended(confirmed)) = life {
         record_target_end(context, request, target, confirmed);
-    }
-    if life.is_some_and(TargetLife::is_target_fault) {
         let mut restarts = context.restarts.borrow_mut();
         restarts.record_break(target, Instant::now());
     }
--- a/crates/cowslipcross/src/serve/coordinator.rs
+++ b/crates/cowslipcross/src/serve/coordinator.rs
@@ -72,10 +72,10 @@
         return;
     };
     let returned = pool.finish_request(id, report, now);
-    if let Some(permit) = returned {
-        record_life(context, &permit, report.outcome, now);
+    if let Some(permit) = &returned {
+        record_life(context, permit, report.outcome, now);
     }
-    if report.outcome.is_break() {
+    if returned.is_some_and(|it| it.shows_break(report.outcome)) {
         pool.update_targets(&pool_targets(context, &pool_key, now), now);
     }
     let replies = if pool.queue_length() > 0 {
@@ -97,7 +97,7 @@
     };
     let target = view.target_incarnation();
     let mut restarts = context.restarts.borrow_mut();
-    if outcome.is_break() {
+    if permit.shows_break(outcome) {
         restarts.record_break(&target, now);
     } else if outcome.is_response() {
         restarts.record_response(&target, permit.granted_at, now);
--- a/crates/decide/src/permits/mod.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -5,27 +5,19 @@
 //! targets shed requests or queue them by arrival instead of priority. Permits only save time and
 //! guarantee nothing else: an instance whose coordinator does not answer sends without one.
 
+mod choice;
 mod failures;
 mod target_state;
 
 use {
-    crate::{
-        limits::RateLimit,
-        names::Name,
-        service_time,
-        spill::{CentreUse, ExpectedTimes, Place, Spill},
-    },
+    crate::{limits::RateLimit, names::Name, service_time, spill::Spill},
     std::{collections::BTreeMap, time::Duration},
-    target_state::{Permit, Rank, TargetState},
+    target_state::{Permit, TargetState},
     tokio::time::Instant,
 };
 
 /// Time from a request's deadline until its permit expires if it was not returned.
 const PERMIT_GRACE: Duration = Duration::from_millis(300);
-/// Part of the time left until the latency goal within which a target in the data centre of the
-/// instance that asks has to be expected to answer to be preferred. Response times vary, so that a
-/// target closer to the goal would often miss it.
-const LOCAL_GOAL_RATIO: f64 = 0.75;
 /// Part of the expected wait after which a refused caller should come back.
 const RETRY_AFTER_RATIO: f64 = 0.5;
 /// Part of the mean service time that must be left before the deadline.
@@ -90,11 +82,6 @@
     pub fn is_response(self) -> bool {
         matches!(self, Self::Served | Self::ServerError | Self::Shed)
     }
-
-    /// Returns whether the target has broken off a connection, so that it may have restarted.
-    pub fn is_break(self) -> bool {
-        matches!(self, Self::ConnectionRefused | Self::ConnectionClosed)
-    }
 }
 
 /// A permit that was returned.
@@ -104,6 +91,20 @@
     pub target: Name,
     /// When the permit was granted.
     pub granted_at: Instant,
+    /// Whether other permits for the target are in use.
+    pub has_others: bool,
+}
+
+impl ReturnedPermit {
+    /// Returns whether the target may have restarted if the request with the permit has ended like this. A
+    /// target that is full closes single connections; one that ends closes all.
+    pub fn shows_break(&self, outcome: PermitOutcome) -> bool {
+        match outcome {
+            PermitOutcome::ConnectionRefused => true,
+            PermitOutcome::ConnectionClosed => !self.has_others,
+            _ => false,
+        }
+    }
 }
 
 /// What an instance tells the coordinator when it returns a permit.
@@ -221,16 +222,13 @@
         if self.queue.iter().any(|(queued, _)| *queued == id) {
             return PermitReply::Queued;
         }
-        let ahead = self
-            .queue
-            .iter()
-            .filter(|(_, it)| it.priority <= request.priority);
-        let ahead_here = ahead.clone();
-        let ahead = ahead.count();
+        let before = self.queue.iter();
+        let before = before.filter(|(_, it)| it.priority <= request.priority);
+        let ahead = before.clone().count();
         // Requests that wait for a target in another data centre do not hold up those of this one.
         let is_first = match self.spill {
             None => ahead == 0,
-            Some(_) => !ahead_here
+            Some(_) => !before
                 .into_iter()
                 .any(|(_, it)| it.data_centre == request.data_centre),
         };
@@ -257,8 +255,11 @@
         for (name, target) in &mut self.targets {
             if let Some(Permit { granted_at, .. }) = target.permits.remove(id) {
                 target.record_report(&id.0, report, now - granted_at, now);
-                let target = name.clone();
-                returned = Some(ReturnedPermit { target, granted_at });
+                returned = Some(ReturnedPermit {
+                    target: name.clone(),
+                    granted_at,
+                    has_others: !target.permits.is_empty(),
+                });
             }
         }
         returned
@@ -336,147 +337,6 @@
         }
     }
 
-    /// Returns the target that may get the request of `instance` and is expected to answer it first.
-    /// Targets in the data centre of that instance are preferred while they are expected to meet the
-    /// latency goal: the caller loses nothing, and no bytes cross between data centres. Cold targets
-    /// are chosen only if the pool has no warm one without a limit, each up to its rate and its slots.
-    fn choose_target(
-        &mut self,
-        instance: &A,
-        request: &PermitRequest,
-        now: Instant,
-    ) -> Option<Name> {
-        let mean = self.mean_service_time();
-        let has_queue = !self.queue.is_empty();
-        let accepts = |name: &Name, target: &TargetState<A>, has_queue: bool| {
-            !request.excluded.contains(name)
-                && target.can_accept(has_queue, now)
-                && !target.is_quiet(instance, now)
-        };
-        let warm = self.targets.iter();
-        let warm = warm.filter(|(name, target)| accepts(name, target, has_queue));
-        let warm = warm.filter(|(_, target)| target.info.cold_rate.is_none());
-        let goal = request.latency_goal.saturating_duration_since(now);
-        let max_local_time = LOCAL_GOAL_RATIO * goal.as_secs_f64();
-        let ranked = warm.map(|(name, target)| {
-            let time = target.response_time(request, mean, now);
-            let is_preferred = target.is_local(request) && time <= max_local_time;
-            let rank = match target.failures.is_avoided(now) {
-                true => Rank::Failing,
-                false if is_preferred => Rank::Preferred,
-                false => Rank::Usual,
-            };
-            (rank, time, name)
-        });
-        if let Some(mut spill) = self.spill.take() {
-            let ranked: Vec<_> = ranked
-                .map(|(rank, time, name)| (rank, time, name.clone()))
-                .collect();
-            let chosen = self.choose_by_place(&mut spill, request, ranked, now);
-            self.spill = Some(spill);
-            if let Some(chosen) = chosen {
-                return chosen;
-            }
-        } else {
-            let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-            if let Some((_, _, name)) = best {
-                return Some(name.clone());
-            }
-        }
-        let mut all = self.targets.values();
-        if all.any(|it| it.is_unlimited()) {
-            return None;
-        }
-        let mut cold = self.targets.iter();
-        let found = cold.find(|(name, target)| accepts(name, target, false));
-        found.map(|(name, _)| name.clone())
-    }
-
-    /// Returns the target of a request that leaves its data centre only if that pays: `Some(None)` if it
-    /// waits at home, and `None` if there is no warm target without a limit that it could wait for.
-    fn choose_by_place(
-        &self,
-        spill: &mut Spill,
-        request: &PermitRequest,
-        accepting: Vec<(Rank, f64, Name)>,
-        now: Instant,
-    ) -> Option<Option<Name>> {
-        let uses = self.centre_uses();
-        let is_home = |name: &Name| self.targets[name].is_local(request);
-        let takes_guest = |name: &Name| {
-            let data_centre = &self.targets[name].info.data_centre;
-            uses.get(data_centre).is_none_or(CentreUse::takes_guest)
-        };
-        let by_rank = |a: &&(Rank, f64, Name), b: &&(Rank, f64, Name)| {
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-        };
-        let at_home = accepting.iter().filter(|it| is_home(&it.2));
-        let at_home = at_home.min_by(by_rank);
-        let elsewhere = accepting
-            .iter()
-            .filter(|it| !is_home(&it.2) && takes_guest(&it.2));
-        let elsewhere = elsewhere.min_by(by_rank);
-        let is_sound = |it: &&(Rank, f64, Name)| it.0 != Rank::Failing;
-        if at_home.is_none() && self.wait_at_home(request).is_none() {
-            let best = accepting.iter().min_by(by_rank);
-            return best.map(|(_, _, name)| Some(name.clone()));
-        }
-        let home_time = match at_home.filter(is_sound) {
-            Some((_, time, _)) => Some(*time),
-            None => self.wait_at_home(request),
-        };
-        let times = ExpectedTimes {
-            home: home_time,
-            elsewhere: elsewhere.filter(is_sound).map(|(_, time, _)| *time),
-            goal: request
-                .latency_goal
-                .saturating_duration_since(now)
-                .as_secs_f64(),
-        };
-        let chosen = match spill.choose_place(&request.data_centre, times) {
-            Place::Home => at_home,
-            Place::Elsewhere => elsewhere.or(at_home),
-        };
-        match chosen {
-            Some((_, _, name)) => Some(Some(name.clone())),
-            None if home_time.is_some() => Some(None),
-            None => None,
-        }
-    }
-
-    /// Returns the expected seconds until a queued request is answered by a target in its data centre;
-    /// `None` if there is no warm one without a limit.
-    fn wait_at_home(&self, request: &PermitRequest) -> Option<f64> {
-        let service_time = self.mean_service_time();
-        let home = self.targets.values();
-        let home = home.filter(|it| it.is_local(request) && it.is_unlimited());
-        let throughput: f64 = home.map(|it| it.throughput(service_time)).sum();
-        let waiting = self.queue.iter().filter(|(_, it)| {
-            it.data_centre == request.data_centre
-                && (it.priority, it.latency_goal) < (request.priority, request.latency_goal)
-        });
-        let ahead = waiting.count() as f64 + 1.0;
-        (throughput > 0.0).then(|| ahead / throughput + service_time)
-    }
-
-    /// Returns the use of each data centre's targets.
-    fn centre_uses(&self) -> BTreeMap<Name, CentreUse> {
-        let mut uses: BTreeMap<Name, CentreUse> = BTreeMap::new();
-        for target in self.targets.values() {
-            let centre = uses.entry(target.info.data_centre.clone()).or_default();
-            let guests = target.permits.values().filter(|it| it.is_guest).count() as u32;
-            centre.slots += target.info.slots;
-            centre.guests += guests;
-            centre.own += target.permits.len() as u32 - guests;
-        }
-        for (_, request) in &self.queue {
-            if let Some(centre) = uses.get_mut(&request.data_centre) {
-                centre.waiting += 1;
-            }
-        }
-        uses
-    }
-
     /// Returns the time after which the caller should come back, if a request behind `ahead` others
     /// cannot be served in time.
     fn refusal_wait(
--- a/crates/decide/tests/restarts.rs
+++ b/crates/decide/tests/restarts.rs
@@ -81,10 +81,11 @@
         }
         for (id, outcome) in ended {
             let returned = pool.finish_request(&id, report(outcome), now);
-            let granted_at = returned.expect("a permit").granted_at;
-            match outcome.is_break() {
-                true => restarts.record_break(&target(), now),
-                false => restarts.record_response(&target(), granted_at, now),
+            let returned = returned.expect("a permit");
+            if returned.shows_break(outcome) {
+                restarts.record_break(&target(), now);
+            } else if outcome.is_response() {
+                restarts.record_response(&target(), returned.granted_at, now);
             }
         }
     }
