fix(allotments): organisations within their limit are not refused while there is no leader

Cause: the margin on what is let in without notices applied to all requests, so that one in ten of organisations within their limit was refused for the time of an election. It applies to the rate at which tokens come back instead.

--- a/crates/decide/src/allotments/entry.rs
+++ b/crates/decide/src/allotments/entry.rs
@@ -14,8 +14,8 @@
 const NOTICE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time constant with which an instance averages what it lets in.
 const AVERAGE_TIME: Duration = Duration::from_secs(2);
-/// Part of what the rate allows that instances let in together while the leader is silent, of an
-/// organisation that asks for more: callers that were refused come again.
+/// Part of what the rate allows, or of what was let in before, that instances let in together while the
+/// leader is silent: callers that were refused come again, and those of lost instances come to the others.
 const SILENCE_MARGIN: f64 = 0.9;
 /// Part of an equal share that it lets in at least.
 const MIN_SHARE: f64 = 0.25;
@@ -63,8 +63,8 @@
 }
 
 impl Entry {
-    /// Creates the entry of an organisation, which is taken to send an equal share to each instance; with different values of `credit`, 0 to 1, instances that get
-    /// few requests do not all refuse the same ones.
+    /// Creates the entry of an organisation, which is taken to send an equal share to each instance. With
+    /// different values of `credit`, 0 to 1, instances that get few requests do not all refuse the same ones.
     fn new(credit: f64, share: f64, now: Instant) -> Self {
         Self {
             usage: Usage::default(),
@@ -83,7 +83,7 @@
         if admission.steady < 1.0 {
             return SILENCE_MARGIN * admission.steady * self.asked;
         }
-        (MIN_SHARE * share).max(self.admitted.min(allotment.rate))
+        (MIN_SHARE * share).max(SILENCE_MARGIN * self.admitted.min(allotment.rate))
     }
 
     /// Takes a token of those that the instance has until the leader's next notice; they come back with each
@@ -129,7 +129,8 @@
         let (admission, _) = self.describe(organisation, now);
         let ratio = match is_silent {
             true if self.owes(admission, now) => 0.0,
-            true => SILENCE_MARGIN * admission.steady,
+            true if admission.steady < 1.0 => SILENCE_MARGIN * admission.steady,
+            true => 1.0,
             false => admission.ratio,
         };
         let entry = self
