--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -235,6 +235,7 @@
             PermitOutcome::Unused
         }
         _ if is_path_lost || life == Some(TargetLife::ReachedByOthers) => PermitOutcome::Unused,
+        ExchangeOutcome::Unsent(ConnectError::Reset) => PermitOutcome::ConnectionClosed,
         ExchangeOutcome::Unsent(_) => PermitOutcome::NotConnected,
         _ if life.is_some_and(TargetLife::is_target_fault) => PermitOutcome::ConnectionClosed,
         ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => PermitOutcome::Broken,
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -305,6 +305,7 @@
     fn message(self) -> &'static str {
         match self {
             Self::LimitReached => "connection limit reached",
+            Self::Reset => "connection reset at once",
             Self::Closed => "nothing listens",
             Self::Failed => "could not connect",
         }
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -200,9 +200,8 @@
         ExchangeOutcome::Unsent(ConnectError::Failed) => {
             Ok(reply_response(&RelayReply::TargetUnreachable))
         }
-        ExchangeOutcome::Unsent(ConnectError::LimitReached) | ExchangeOutcome::NotRelayed(_) => {
-            denied()
-        }
+        ExchangeOutcome::Unsent(ConnectError::LimitReached | ConnectError::Reset)
+        | ExchangeOutcome::NotRelayed(_) => denied(),
         ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => Err(NoResponse),
     }
 }
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -56,9 +56,10 @@
 /// Why no connection is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectError {
-    /// This instance has as many connections to the target as it may have, or the target as many as it
-    /// accepts.
+    /// This instance has as many connections to the target as it may have.
     LimitReached,
+    /// The target reset the connection as soon as it was open.
+    Reset,
     /// Nothing listens at the address.
     Closed,
     /// The connection could not be opened for another reason.
@@ -214,7 +215,7 @@
         let counted = CounterGuard::new(&self.open_count);
         let opened = timeout(CONNECT_TIMEOUT, connect(self.address)).await;
         match opened {
-            Ok(Ok(connection)) if connection.is_reset().await => Err(ConnectError::LimitReached),
+            Ok(Ok(connection)) if connection.is_reset().await => Err(ConnectError::Reset),
             Ok(Ok(connection)) => {
                 self.avoid_until.set(None);
                 self.opened_at.set(Some(Instant::now()));
@@ -244,7 +245,7 @@
         match opened.unwrap_or(Err(ConnectError::Failed)) {
             Ok(connection) => self.return_idle(connection, None),
             // Only a target that runs resets connections beyond those that it accepts.
-            Err(ConnectError::LimitReached) => {}
+            Err(ConnectError::Reset) => {}
             Err(error) => return Err(error),
         }
         Ok(())
