fix(views): missing targets are kept after a restoration also if the leader tells of it first

The leader kept them for their time of grace and so told of no change when they reported again: their keys had no owner at that follower for good. The new test failed before.

--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -136,10 +136,9 @@
         (sent_at, now): (Instant, Instant),
     ) -> (Self, TargetChanges) {
         let has_read_gap = self.age(sent_at).is_some_and(|age| age > MAX_READ_GAP);
-        let is_restored = self.is_known() && version.era > self.store_version.era;
-        let grace_until = match has_read_gap || is_restored {
+        let grace_until = match has_read_gap {
             true => Some(now + REPORT_GRACE_PERIOD),
-            false => self.grace_until.filter(|until| *until > now),
+            false => self.grace_after(version, now),
         };
         let reports = reports.into_iter().map(|it| (it.id.clone(), it));
         let reports: BTreeMap<Name, TargetReport> = reports.collect();
@@ -195,10 +194,20 @@
             store_version: version,
             changed_version: version,
             confirmed_at,
-            grace_until: self.grace_until,
+            grace_until: self.grace_after(version, now),
         })
     }
 
+    /// Returns until when missing targets are kept once a version of the store is known: the first one of a
+    /// restored store starts the time anew, whether it was read or the leader told it.
+    fn grace_after(&self, version: StoreVersion, now: Instant) -> Option<Instant> {
+        let is_restored = self.is_known() && version.era > self.store_version.era;
+        match is_restored {
+            true => Some(now + REPORT_GRACE_PERIOD),
+            false => self.grace_until.filter(|until| *until > now),
+        }
+    }
+
     /// Returns the snapshot after an incarnation has announced by other means than its report that
     /// it is about to stop; `None` if it was known to drain.
     pub fn with_draining(&self, target: &TargetIncarnation, now: Instant) -> Option<Self> {
--- a/crates/cowslipcross/src/views/target_snapshot_tests.rs
+++ b/crates/cowslipcross/src/views/target_snapshot_tests.rs
@@ -1,7 +1,8 @@
 //! Targets that drain, and reports that are missing or contradict earlier ones.
 
 use {
-    super::TargetSnapshot,
+    super::{TargetSnapshot, UpdateResult},
+    crate::views::target_updates::TargetUpdateMessage,
     cowslip_adapter::targets::TargetReport,
     cowslip_decide::names::StoreVersion,
     std::{net::SocketAddr, time::Duration},
@@ -135,3 +136,35 @@
     let again = read(&same, vec![cold(2)], (0, 7), at(2500));
     assert!(is_cold(&again, at(4400)));
 }
+
+/// Guards against keys without an owner: the leader, which keeps the target, tells of no change when its
+/// report is back, so that an instance that has dropped it would never learn of it.
+#[test]
+fn targets_that_a_restored_store_lacks_are_kept_if_the_leader_tells_of_it_first() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let snapshot = read(
+        &TargetSnapshot::empty(),
+        vec![report(1, false)],
+        (1, 90),
+        start,
+    );
+    let other = TargetReport {
+        id: "b".into(),
+        ..report(1, false)
+    };
+    let told = TargetUpdateMessage {
+        version: StoreVersion { era: 2, number: 40 },
+        age_ms: Some(10),
+        base_version: StoreVersion { era: 1, number: 80 },
+        changes: vec![("b".into(), Some((&other).into()))],
+    };
+    let UpdateResult::Changed(restored) = snapshot.apply_message(told, at(600)) else {
+        panic!("the changes apply");
+    };
+    let backup = read(&restored, vec![other.clone()], (2, 41), at(610));
+    assert!(backup.get("a").is_some());
+    let same = read(&backup, vec![other.clone()], (2, 42), at(1800));
+    let gone = read(&same, vec![other], (2, 43), at(3000));
+    assert!(same.get("a").is_some() && gone.get("a").is_none());
+}
