--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -51,10 +51,6 @@
 /// Seed and seconds of the short run in which callers belong to organisations.
 const ORGANISATIONS_RUN: (u64, u64) = (11_001, 14);
 
-/// Prefix of the violation of the seed of [`LIMIT_RUN`] that is listed in KNOWN-RED.txt: it is printed and
-/// does not fail the test.
-const KNOWN_LIMIT_VIOLATION: &str = "RECOVER:";
-
 /// Faults that are played beside the usual ones.
 #[derive(Clone, Copy)]
 struct FurtherFaults {
@@ -105,18 +101,10 @@
     let report = run::run_deployment(&options)
         .await
         .expect("the run completes");
-    let is_known = |line: &&String| seed == LIMIT_RUN.0 && line.starts_with(KNOWN_LIMIT_VIOLATION);
-    for line in report.violations.iter().filter(is_known) {
-        println!("known red, seed {seed}: {line}");
-    }
-    let unknown: Vec<&String> = report
-        .violations
-        .iter()
-        .filter(|it| !is_known(it))
-        .collect();
     assert!(
-        unknown.is_empty(),
-        "seed {seed}: {unknown:#?}, logs in {}",
+        report.violations.is_empty(),
+        "seed {seed}: {:#?}, logs in {}",
+        report.violations,
         options.work_directory.display()
     );
     // The checks mean little if few requests succeed.
