refactor(permits): the choice of a target copies no names, and collects candidates only where places are compared

The order of candidates and the result are as before: suites permits, permit_rates, spill and restarts.

--- a/crates/decide/src/permits/choice.rs
+++ b/crates/decide/src/permits/choice.rs
@@ -20,11 +20,11 @@
 
 /// A warm target that accepts a request now.
 #[derive(Debug)]
-struct Candidate {
+struct Candidate<'a> {
     rank: Rank,
     /// Expected response time in seconds.
     time: f64,
-    name: Name,
+    name: &'a Name,
 }
 
 /// What to do with a request for which targets were looked at.
@@ -38,14 +38,14 @@
     NoWarmTarget,
 }
 
-impl Candidate {
+impl Candidate<'_> {
     fn order(a: &&Self, b: &&Self) -> Ordering {
         a.rank.cmp(&b.rank).then(a.time.total_cmp(&b.time))
     }
 }
 
-impl From<Option<&Candidate>> for Choice {
-    fn from(best: Option<&Candidate>) -> Self {
+impl From<Option<&Candidate<'_>>> for Choice {
+    fn from(best: Option<&Candidate<'_>>) -> Self {
         best.map_or(Self::NoWarmTarget, |it| Self::Send(it.name.clone()))
     }
 }
@@ -61,6 +61,7 @@
         request: &PermitRequest,
         now: Instant,
     ) -> Option<Name> {
+        let mut spill = self.spill.take();
         let mean = self.mean_service_time();
         let has_queue = !self.queue.is_empty();
         let accepts = |name: &Name, target: &TargetState<A>, has_queue: bool| {
@@ -83,21 +84,18 @@
             };
             (rank, time, name)
         });
-        let ranked: Vec<Candidate> = ranked
-            .map(|(rank, time, name)| Candidate {
-                rank,
-                time,
-                name: name.clone(),
-            })
-            .collect();
-        let choice = match self.spill.take() {
-            None => ranked.iter().min_by(Candidate::order).into(),
-            Some(mut spill) => {
-                let choice = self.choose_by_place(&mut spill, request, &ranked, now);
-                self.spill = Some(spill);
-                choice
+        let candidates = ranked.map(|(rank, time, name)| Candidate { rank, time, name });
+        let choice = match &mut spill {
+            None => candidates
+                .min_by(|a, b| Candidate::order(&a, &b))
+                .as_ref()
+                .into(),
+            Some(spill) => {
+                let candidates: Vec<Candidate<'_>> = candidates.collect();
+                self.choose_by_place(spill, request, &candidates, now)
             }
         };
+        self.spill = spill;
         match choice {
             Choice::Send(name) => return Some(name),
             Choice::Wait => return None,
@@ -117,13 +115,13 @@
         &self,
         spill: &mut Spill,
         request: &PermitRequest,
-        accepting: &[Candidate],
+        accepting: &[Candidate<'_>],
         now: Instant,
     ) -> Choice {
         let uses = self.centre_uses();
-        let is_home = |it: &&Candidate| self.targets[&it.name].is_local(request);
-        let takes_guest = |it: &&Candidate| {
-            let data_centre = &self.targets[&it.name].info.data_centre;
+        let is_home = |it: &&Candidate<'_>| self.targets[it.name].is_local(request);
+        let takes_guest = |it: &&Candidate<'_>| {
+            let data_centre = &self.targets[it.name].info.data_centre;
             uses.get(data_centre).is_none_or(CentreUse::takes_guest)
         };
         let at_home = accepting.iter().filter(is_home).min_by(Candidate::order);
@@ -133,7 +131,7 @@
         }
         let guests = accepting.iter().filter(|it| !is_home(it));
         let elsewhere = guests.filter(takes_guest).min_by(Candidate::order);
-        let sound_time = |it: Option<&Candidate>| {
+        let sound_time = |it: Option<&Candidate<'_>>| {
             let sound = it.filter(|it| it.rank != Rank::Failing);
             sound.map(|it| it.time)
         };
