--- /dev/null
+++ b/review/harness/src/store.rs
@@ -0,0 +1,222 @@
+//! Stand-in for the platform's store: rows, a feed of their changes and conditional writes.
+
+use {
+    crate::{
+        http::{self, Message, Reply, response},
+        json::{Json, decode_base64, encode_base64},
+    },
+    std::{
+        collections::BTreeMap,
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, Condvar, Mutex},
+        time::{Duration, Instant},
+    },
+};
+
+type Key = (String, String, String);
+
+#[derive(Clone)]
+pub struct Row {
+    pub value: Option<Vec<u8>>,
+    version: u64,
+}
+
+#[derive(Clone, Default)]
+pub struct Rows {
+    pub rows: BTreeMap<Key, Row>,
+    version: u64,
+}
+
+#[derive(Default)]
+struct State {
+    data: Rows,
+    era: u64,
+    is_away: bool,
+}
+
+struct Shared {
+    start: Instant,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Clone)]
+pub struct Store {
+    shared: Arc<Shared>,
+    pub address: SocketAddr,
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let shared = Arc::new(Shared {
+            start: Instant::now(),
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let served = shared.clone();
+        let address = http::serve(listener, move |message, _| served.answer(&message));
+        Self { shared, address }
+    }
+
+    pub fn put(&self, table: &str, key: &str, value: Option<&str>) {
+        let mut state = self.shared.state.lock().expect("store");
+        state.data.version += 1;
+        let row = Row {
+            value: value.map(|it| it.as_bytes().to_vec()),
+            version: state.data.version,
+        };
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        state.data.rows.insert(key, row);
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+
+    pub fn row(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.state.lock().expect("store");
+        let key = (table.to_owned(), part.to_owned(), key.to_owned());
+        state.data.rows.get(&key)?.value.clone()
+    }
+
+    pub fn copy(&self) -> Rows {
+        self.shared.state.lock().expect("store").data.clone()
+    }
+
+    pub fn set_away(&self, is_away: bool) {
+        self.shared.state.lock().expect("store").is_away = is_away;
+        self.shared.changed.notify_all();
+    }
+
+    /// Comes back with the rows of a copy, in the next era.
+    pub fn restore(&self, copy: &Rows) {
+        let mut state = self.shared.state.lock().expect("store");
+        state.data = copy.clone();
+        state.era += 1;
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+}
+
+impl Shared {
+    fn now(&self) -> String {
+        format!("{}ms", self.start.elapsed().as_millis())
+    }
+
+    fn answer(&self, message: &Message) -> Reply {
+        if self.state.lock().expect("store").is_away {
+            return Reply::Send(response(503, &[], b"{}"));
+        }
+        let (status, body) = match message.path() {
+            "/-/rows-get" => self.read(message),
+            "/-/rows-feed" => self.feed(message),
+            "/-/rows-tx" => self.write(&message.body),
+            _ => (404, "{}".to_owned()),
+        };
+        let state = self.state.lock().expect("store");
+        if state.is_away {
+            return Reply::Close;
+        }
+        let era = state.era.to_string();
+        Reply::Send(response(status, &[("store-era", &era)], body.as_bytes()))
+    }
+
+    fn page(&self, version: u64, rows: &[String]) -> String {
+        let rows = rows.join(",");
+        let now = self.now();
+        format!(r#"{{"Rows":[{rows}],"HasMore":false,"RowVersion":{version},"Now":"{now}"}}"#)
+    }
+
+    fn read(&self, message: &Message) -> (u16, String) {
+        let state = self.state.lock().expect("store");
+        let (table, part, from) = (
+            message.query("Table"),
+            message.query("part"),
+            message.query("From"),
+        );
+        let rows = state
+            .data
+            .rows
+            .iter()
+            .filter(|((row_table, row_part, key), row)| {
+                *row_table == table && *row_part == part && *key >= from && row.value.is_some()
+            });
+        let rows: Vec<String> = rows.map(|(key, row)| row_json(key, row)).collect();
+        (200, self.page(state.data.version, &rows))
+    }
+
+    fn feed(&self, message: &Message) -> (u16, String) {
+        let table = message.query("Table");
+        let after: u64 = message.query("after").parse().unwrap_or_default();
+        let wait: u64 = message.query("WaitMs").parse().unwrap_or_default();
+        let deadline = Instant::now() + Duration::from_millis(wait);
+        let mut state = self.state.lock().expect("store");
+        loop {
+            if after > state.data.version {
+                return (410, "{}".to_owned());
+            }
+            let newer = state.data.rows.iter();
+            let mut newer: Vec<_> = newer
+                .filter(|((row_table, ..), row)| *row_table == table && row.version > after)
+                .collect();
+            newer.sort_by_key(|(_, row)| row.version);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !newer.is_empty() || left.is_zero() || state.is_away {
+                let rows: Vec<String> = newer.iter().map(|(key, row)| row_json(key, row)).collect();
+                return (200, self.page(state.data.version, &rows));
+            }
+            state = self.changed.wait_timeout(state, left).expect("store").0;
+        }
+    }
+
+    fn write(&self, body: &[u8]) -> (u16, String) {
+        let Some(call) = Json::parse(body) else {
+            return (400, "{}".to_owned());
+        };
+        let mut state = self.state.lock().expect("store");
+        let current = |row: &Json| {
+            let row = state.data.rows.get(&row_key(row));
+            row.filter(|it| it.value.is_some())
+                .map_or(0, |it| it.version)
+        };
+        let expected = call.get("Expected").list();
+        if !expected
+            .iter()
+            .all(|it| it.get("RowVersion").number() == Some(current(it)))
+        {
+            let rows = expected.iter().filter_map(|it| {
+                let key = row_key(it);
+                let row = state.data.rows.get(&key)?;
+                Some(row_json(&key, row))
+            });
+            let rows: Vec<String> = rows.collect();
+            return (412, self.page(state.data.version, &rows));
+        }
+        state.data.version += 1;
+        let version = state.data.version;
+        for row in call.get("Writes").list() {
+            let value = decode_base64(row.get("Value").text());
+            state.data.rows.insert(row_key(row), Row { value, version });
+        }
+        drop(state);
+        self.changed.notify_all();
+        (
+            200,
+            format!(r#"{{"RowVersion":{version},"Now":"{}"}}"#, self.now()),
+        )
+    }
+}
+
+fn row_key(row: &Json) -> Key {
+    let field = |name: &str| row.get(name).text().to_owned();
+    (field("Table"), field("part"), field("Key"))
+}
+
+fn row_json((table, part, key): &Key, row: &Row) -> String {
+    let version = row.version;
+    let place =
+        format!(r#""Table":"{table}","part":"{part}","Key":"{key}","RowVersion":{version}"#);
+    match &row.value {
+        Some(value) => format!(r#"{{{place},"Value":"{}"}}"#, encode_base64(value)),
+        None => format!(r#"{{{place},"Deleted":true}}"#),
+    }
+}
