test(review): a server that answers grants with a body without end takes leader after leader over its memory

The bound of 64 KiB on answers to commands counts data, not the read buffers that one-byte pieces keep; the leader holds over 260 MB and ends, and so does each of its successors.

--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -11,7 +11,7 @@
     std::{
         io::BufReader,
         net::{SocketAddr, TcpStream},
-        path::{Path, PathBuf},
+        path::Path,
         sync::{
             Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
@@ -40,7 +40,6 @@
     pub boards: Vec<Arc<Target>>,
     pub crews: Vec<Arc<Target>>,
     pub instances: Vec<Arc<Instance>>,
-    pub folder: PathBuf,
 }
 
 /// How a request ended for its client.
@@ -79,7 +78,7 @@
         folder: &Path,
         record: &Record,
         counts: (usize, usize, usize),
-        behaviour: fn() -> Box<Behaviour>,
+        behaviour: impl Fn() -> Box<Behaviour>,
         clock_start: Duration,
     ) -> Self {
         let store = Store::start(clock_start);
@@ -105,7 +104,6 @@
         let deployment = Self {
             record: record.clone(),
             instances: instances.collect(),
-            folder: folder.to_owned(),
             store,
             boards,
             crews,
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -23,10 +23,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or_default()
-    }
-
     /// Path and query of a request.
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or_default()
@@ -155,8 +151,6 @@
 /// What a handler does with a request.
 pub enum Reply {
     Send(Message),
-    /// Close the connection without a response.
-    Close,
     /// The handler has written to the connection itself; close it.
     Done,
 }
@@ -188,7 +182,7 @@
                     return;
                 }
             }
-            Reply::Close | Reply::Done => {
+            Reply::Done => {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
             }
--- a/review/harness/src/instance.rs
+++ b/review/harness/src/instance.rs
@@ -4,10 +4,13 @@
     crate::record::Record,
     std::{
         fs::{self, File},
-        net::{SocketAddr, TcpListener, UdpSocket},
+        net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
         process::{Child, Command},
-        sync::Mutex,
+        sync::{
+            Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
         time::Duration,
     },
 };
@@ -18,18 +21,24 @@
 pub struct Instance {
     pub name: String,
     pub callers: SocketAddr,
-    pub readiness: SocketAddr,
-    pub operators: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
 }
 
+/// First of the ports that are tried, and their number; they lie below the system's ephemeral ports, which outgoing
+/// connections may take meanwhile.
+const PORTS: (u32, u32) = (14_000, 16_000);
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a loopback address at which nothing listens.
 fn free_address() -> SocketAddr {
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = tcp.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let offset = (std::process::id().wrapping_mul(131) + next) % PORTS.1;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, (PORTS.0 + offset) as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
@@ -42,8 +51,6 @@
         let instance = Self {
             name: name.to_owned(),
             callers,
-            readiness,
-            operators,
             settings: folder.join(format!("{name}.toml")),
             log: folder.join(format!("{name}.log")),
             child: Mutex::new(None),
@@ -93,14 +100,6 @@
         self.child.lock().expect("child").as_ref().map(Child::id)
     }
 
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&self) -> bool {
-        let mut child = self.child.lock().expect("child");
-        child
-            .as_mut()
-            .is_some_and(|it| !matches!(it.try_wait(), Ok(None)))
-    }
-
     pub fn kill(&self) {
         if let Some(mut child) = self.child.lock().expect("child").take() {
             let _ = child.kill();
@@ -108,16 +107,6 @@
         }
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        if let Some(id) = self.id() {
-            let _ = Command::new("sh")
-                .arg("-c")
-                .arg(format!("kill -{name} {id}"))
-                .status();
-        }
-    }
-
     /// Returns the resident memory of the process in MiB.
     pub fn memory_mb(&self) -> u64 {
         let Some(id) = self.id() else { return 0 };
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -27,7 +27,8 @@
     let record = record::Record::create(Path::new(record));
     let is_broken = match case.as_str() {
         "aged" => aged::run(&folder, &record, is_troubled),
-        "drip" => drip::run(&folder, &record, is_troubled),
+        "drip" => drip::run(&folder, &record, drip::Part::Requests, is_troubled),
+        "drip-grants" => drip::run(&folder, &record, drip::Part::Grants, is_troubled),
         "upload" => upload::run(&folder, &record, is_troubled),
         other => {
             eprintln!("no case {other}");
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -15,23 +15,15 @@
 
 type Key = (String, String, String);
 
-#[derive(Clone)]
-pub struct Row {
-    pub value: Option<Vec<u8>>,
-    version: u64,
-}
-
-#[derive(Clone, Default)]
-pub struct Rows {
-    pub rows: BTreeMap<Key, Row>,
+struct Row {
+    value: Option<Vec<u8>>,
     version: u64,
 }
 
 #[derive(Default)]
 struct State {
-    data: Rows,
-    era: u64,
-    is_away: bool,
+    rows: BTreeMap<Key, Row>,
+    version: u64,
 }
 
 struct Shared {
@@ -70,37 +62,13 @@
 
     pub fn put(&self, table: &str, key: &str, value: Option<&str>) {
         let mut state = self.shared.state.lock().expect("store");
-        state.data.version += 1;
+        state.version += 1;
         let row = Row {
             value: value.map(|it| it.as_bytes().to_vec()),
-            version: state.data.version,
+            version: state.version,
         };
         let key = (table.to_owned(), String::new(), key.to_owned());
-        state.data.rows.insert(key, row);
-        drop(state);
-        self.shared.changed.notify_all();
-    }
-
-    pub fn row(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
-        let state = self.shared.state.lock().expect("store");
-        let key = (table.to_owned(), part.to_owned(), key.to_owned());
-        state.data.rows.get(&key)?.value.clone()
-    }
-
-    pub fn copy(&self) -> Rows {
-        self.shared.state.lock().expect("store").data.clone()
-    }
-
-    pub fn set_away(&self, is_away: bool) {
-        self.shared.state.lock().expect("store").is_away = is_away;
-        self.shared.changed.notify_all();
-    }
-
-    /// Comes back with the rows of a copy, in the next era.
-    pub fn restore(&self, copy: &Rows) {
-        let mut state = self.shared.state.lock().expect("store");
-        state.data = copy.clone();
-        state.era += 1;
+        state.rows.insert(key, row);
         drop(state);
         self.shared.changed.notify_all();
     }
@@ -116,21 +84,13 @@
     }
 
     fn answer(&self, message: &Message) -> Reply {
-        if self.state.lock().expect("store").is_away {
-            return Reply::Send(response(503, &[], b"{}"));
-        }
         let (status, body) = match message.path() {
             "/-/rows-get" => self.read(message),
             "/-/rows-feed" => self.feed(message),
             "/-/rows-tx" => self.write(&message.body),
             _ => (404, "{}".to_owned()),
         };
-        let state = self.state.lock().expect("store");
-        if state.is_away {
-            return Reply::Close;
-        }
-        let era = state.era.to_string();
-        Reply::Send(response(status, &[("store-era", &era)], body.as_bytes()))
+        Reply::Send(response(status, &[("store-era", "0")], body.as_bytes()))
     }
 
     fn page(&self, version: u64, rows: &[String]) -> String {
@@ -147,14 +107,13 @@
             message.query("From"),
         );
         let rows = state
-            .data
             .rows
             .iter()
             .filter(|((row_table, row_part, key), row)| {
                 *row_table == table && *row_part == part && *key >= from && row.value.is_some()
             });
         let rows: Vec<String> = rows.map(|(key, row)| row_json(key, row)).collect();
-        (200, self.page(state.data.version, &rows))
+        (200, self.page(state.version, &rows))
     }
 
     fn feed(&self, message: &Message) -> (u16, String) {
@@ -164,18 +123,18 @@
         let deadline = Instant::now() + Duration::from_millis(wait);
         let mut state = self.state.lock().expect("store");
         loop {
-            if after > state.data.version {
+            if after > state.version {
                 return (410, "{}".to_owned());
             }
-            let newer = state.data.rows.iter();
+            let newer = state.rows.iter();
             let mut newer: Vec<_> = newer
                 .filter(|((row_table, ..), row)| *row_table == table && row.version > after)
                 .collect();
             newer.sort_by_key(|(_, row)| row.version);
             let left = deadline.saturating_duration_since(Instant::now());
-            if !newer.is_empty() || left.is_zero() || state.is_away {
+            if !newer.is_empty() || left.is_zero() {
                 let rows: Vec<String> = newer.iter().map(|(key, row)| row_json(key, row)).collect();
-                return (200, self.page(state.data.version, &rows));
+                return (200, self.page(state.version, &rows));
             }
             state = self.changed.wait_timeout(state, left).expect("store").0;
         }
@@ -187,7 +146,7 @@
         };
         let mut state = self.state.lock().expect("store");
         let current = |row: &Json| {
-            let row = state.data.rows.get(&row_key(row));
+            let row = state.rows.get(&row_key(row));
             row.filter(|it| it.value.is_some())
                 .map_or(0, |it| it.version)
         };
@@ -198,17 +157,17 @@
         {
             let rows = expected.iter().filter_map(|it| {
                 let key = row_key(it);
-                let row = state.data.rows.get(&key)?;
+                let row = state.rows.get(&key)?;
                 Some(row_json(&key, row))
             });
             let rows: Vec<String> = rows.collect();
-            return (412, self.page(state.data.version, &rows));
+            return (412, self.page(state.version, &rows));
         }
-        state.data.version += 1;
-        let version = state.data.version;
+        state.version += 1;
+        let version = state.version;
         for row in call.get("Writes").list() {
             let value = decode_base64(row.get("Value").text());
-            state.data.rows.insert(row_key(row), Row { value, version });
+            state.rows.insert(row_key(row), Row { value, version });
         }
         drop(state);
         self.changed.notify_all();
--- a/review/harness/src/target.rs
+++ b/review/harness/src/target.rs
@@ -45,8 +45,8 @@
 
 pub struct Target {
     pub options: Options,
-    pub address: SocketAddr,
-    pub born: u64,
+    address: SocketAddr,
+    born: u64,
     /// Whether the server is in trouble: then its behaviour answers.
     pub is_troubled: AtomicBool,
     sequence: AtomicU64,
@@ -117,11 +117,6 @@
         store.put("servers", id, Some(&report));
     }
 
-    pub fn holds(&self, key: u64) -> bool {
-        let state = self.state.lock().expect("target");
-        state.expiry[key as usize].is_some_and(|it| it > Instant::now())
-    }
-
     fn answer(&self, message: &Message, stream: &TcpStream) -> Reply {
         let id = message
             .header("x-request-id")
@@ -133,7 +128,13 @@
         }
         match message.path() {
             "/health" => Reply::Send(response(200, &[("x-instance-id", &self.options.id)], b"")),
-            "/-/grant" => self.grant(&message.body, &id),
+            "/-/grant" => {
+                let reply = self.grant(&message.body, &id);
+                match self.is_troubled.load(Ordering::Relaxed) {
+                    true => (self.behaviour)(self, message, stream).unwrap_or(reply),
+                    false => reply,
+                }
+            }
             "/-/release" => self.release(&message.body, &id),
             _ => self.run(message, &id, stream),
         }
--- a/review/harness/src/upload.rs
+++ b/review/harness/src/upload.rs
@@ -58,7 +58,11 @@
                     return;
                 }
                 let id = format!("u{index}-{number}-{count}");
-                let message = removal(&id, (index * 21_000 + number * 7001) as u64, &body);
+                let message = removal(
+                    &id,
+                    ((index * 16_000 + number * 4000) % 65_536) as u64,
+                    &body,
+                );
                 let result = connect(callers, Duration::from_secs(6))
                     .and_then(|mut connection| exchange(&mut connection, &message));
                 let outcome = match result {
