test(review): an unsafe request runs twice when the refusal of its first attempt comes once more

All attempts of a request have the same id and may use the same connection; a late copy of the refusal of the first attempt is taken for the answer to the second one, which runs, and the request is sent a third time.

--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -57,6 +57,8 @@
 pub struct Sent {
     pub id: String,
     pub instance: usize,
+    /// Whether it may run more than once.
+    pub is_safe: bool,
     /// When it was sent, in milliseconds of the record.
     pub sent_ms: u64,
     /// Whether an earlier request on the same connection was answered.
@@ -288,6 +290,7 @@
             self.history.0.lock().expect("history").push(Sent {
                 id,
                 instance: self.index,
+                is_safe: message.first.starts_with("GET"),
                 sent_ms,
                 is_kept,
                 outcome,
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -11,7 +11,7 @@
 mod record;
 mod store;
 mod target;
-mod upload;
+mod twice;
 
 use std::{path::Path, process::exit};
 
@@ -29,7 +29,7 @@
         "aged" => aged::run(&folder, &record, is_troubled),
         "drip" => drip::run(&folder, &record, drip::Part::Requests, is_troubled),
         "drip-grants" => drip::run(&folder, &record, drip::Part::Grants, is_troubled),
-        "upload" => upload::run(&folder, &record, is_troubled),
+        "twice" => twice::run(&folder, &record, is_troubled),
         other => {
             eprintln!("no case {other}");
             exit(2)
