--- a/review/harness/src/drip.rs
+++ b/review/harness/src/drip.rs
@@ -50,7 +50,7 @@
 }
 
 pub fn run(folder: &Path, record: &Record, is_troubled: bool) -> bool {
-    let deployment = Deployment::start(folder, record, (4, 6, 3), behaviour);
+    let deployment = Deployment::start(folder, record, (4, 6, 3), behaviour, Duration::ZERO);
     record.line("serves");
     let (history, stop) = (History::default(), Arc::new(AtomicBool::new(false)));
     let clients = deployment.start_clients(CLIENTS, &history, &stop);
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `review-harness CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held,
 //! and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
+mod aged;
 mod deployment;
 mod drip;
 mod http;
@@ -25,6 +26,7 @@
     std::fs::create_dir_all(&folder).expect("a temporary folder");
     let record = record::Record::create(Path::new(record));
     let is_broken = match case.as_str() {
+        "aged" => aged::run(&folder, &record, is_troubled),
         "drip" => drip::run(&folder, &record, is_troubled),
         "upload" => upload::run(&folder, &record, is_troubled),
         other => {
