--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -23,7 +23,7 @@
 
 pub const HOST: &str = "ficu95.example";
 const ZONES: [&str; 2] = ["sapporo", "otaru"];
-/// Requests that the client whose connection is kept sends a second.
+/// Pause of a client between two requests.
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// The configuration of the operator; bounds and limits are those that `fleetbench wire` shows for a small site.
@@ -271,6 +271,10 @@
                 _ => status(&id, key),
             };
             let sent_ms = self.record.now_ms();
+            self.record.line(&format!(
+                "sent {id} to {}: {}",
+                self.instance.name, message.first
+            ));
             let outcome = match exchange(&mut open, &message) {
                 Ok(Some(answer)) => {
                     let closes = answer.header("connection").is_some_and(|it| it == "close");
