feat(lead): an event tells when the store's time cannot be read

Cause: the time in the store's responses was dropped without a log line if it could not be read.

Change: the time of a response is a Result; CC0622 gives the error.

--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -176,6 +176,9 @@
     621 MESSAGE_UNREADABLE Warn None; "message of instance {instance} cannot be read: {detail}";
         "The sender runs a build with messages that this one does not know, or the message is malformed. It was dropped; told once for each sender.";
         "Nothing during an upgrade; otherwise look for a foreign sender.";
+    622 STORE_TIME_UNKNOWN Error FREQUENT_RATE; "time of the store not known: {detail}";
+        "A response of the store has no time of its clock that can be read. Without it no instance becomes or stays leader.";
+        "Look at the store of the platform; without a leader, keys lose their owners within seconds.";
     701 UNSERVED Info FREQUENT_RATE; "request {request} unserved: {detail}";
         "The router answered a caller in place of a target, with a verdict and a reason.";
         "See the page on unserved requests.";
--- a/crates/cowslipcross/src/lead/row_reader.rs
+++ b/crates/cowslipcross/src/lead/row_reader.rs
@@ -58,6 +58,21 @@
     }
 }
 
+/// Returns the time of the store's clock from a response; records why if there is none, as no instance can
+/// lead without it.
+pub fn known_store_time(
+    context: &Context,
+    store_time: &cowslip_adapter::Result<Duration>,
+) -> Option<Duration> {
+    match store_time {
+        Ok(time) => Some(*time),
+        Err(error) => {
+            context.record_event(events::STORE_TIME_UNKNOWN, error.to_string());
+            None
+        }
+    }
+}
+
 /// Returns the time of the store's clock until which grants may be in force of which nothing is
 /// recorded, as the leader's row does not exist: leaders of an earlier era may have sent them until
 /// their leases ended. `None` when the system starts for the first time.
@@ -81,8 +96,9 @@
         return;
     }
     let row = rows.rows.iter().find(|row| row.key == ROW_KEY);
-    let timestamp = rows.store_time.map(|time| StoreTimestamp {
-        store_time: time,
+    let store_time = known_store_time(context, &rows.store_time);
+    let timestamp = store_time.map(|store_time| StoreTimestamp {
+        store_time,
         sent_at,
     });
     let value = row.and_then(|row| row.value.as_deref());
@@ -98,7 +114,7 @@
             .map(Duration::from_millis),
     };
     let expiry = decoded.as_ref().and_then(|it| grants_end(context, it));
-    let unknown_until = match (&decoded, rows.store_time) {
+    let unknown_until = match (&decoded, store_time) {
         (Some(row), _) => row.unknown_until.map(Duration::from_millis),
         (None, Some(store_time)) => unknown_grants_end(context, store_time),
         (None, None) => context.unknown_until.get(),
--- a/crates/cowslipcross/src/lead/row_writer.rs
+++ b/crates/cowslipcross/src/lead/row_writer.rs
@@ -12,7 +12,7 @@
                 ROW_KEY, STORE_TIMEOUT, check, new_row, own_grants_end, timestamp_to_write,
             },
             peer_reports,
-            row_reader::{apply_leader_row, observe_restoration},
+            row_reader::{apply_leader_row, known_store_time, observe_restoration},
         },
         peers::{datagram, message::Message},
     },
@@ -76,8 +76,9 @@
             version,
             store_time: now,
         }) => {
-            let response_timestamp = now.map_or(written, |time| StoreTimestamp {
-                store_time: time,
+            let now = known_store_time(context, now);
+            let response_timestamp = now.map_or(written, |store_time| StoreTimestamp {
+                store_time,
                 sent_at,
             });
             context
