--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -195,7 +195,18 @@
         slots: u32,
         processing_time: Duration,
     ) -> Self {
-        let mut deployment = Self::start_targets(boards, slots, processing_time).await;
+        let store = FakeStore::start().await;
+        Self::start_on(store, instances, (boards, slots, processing_time)).await
+    }
+
+    /// Like [`Self::start`], on a store that is running; `targets` are the number of targets of the sharded
+    /// service, their slots and their processing time.
+    pub async fn start_on(
+        store: FakeStore,
+        instances: usize,
+        targets: (usize, u32, Duration),
+    ) -> Self {
+        let mut deployment = Self::start_targets(store, targets).await;
         for index in 0..instances {
             let instance = Instance::start(&format!("i{index}"), deployment.store.address());
             deployment.instances.push(instance);
@@ -211,7 +222,8 @@
         slots: u32,
         processing_time: Duration,
     ) -> Self {
-        let mut deployment = Self::start_targets(boards, slots, processing_time).await;
+        let store = FakeStore::start().await;
+        let mut deployment = Self::start_targets(store, (boards, slots, processing_time)).await;
         for index in 0..instances {
             let links = deployment.open_links().await;
             let instance = Instance::start(&format!("i{index}"), links.view.address());
@@ -242,8 +254,10 @@
         InstanceLinks { links, view }
     }
 
-    async fn start_targets(boards: usize, slots: u32, processing_time: Duration) -> Self {
-        let store = FakeStore::start().await;
+    async fn start_targets(
+        store: FakeStore,
+        (boards, slots, processing_time): (usize, u32, Duration),
+    ) -> Self {
         store.put("op", "config", build_config("r5", "boards").as_bytes());
         let mut deployment = Self {
             store,
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -9,3 +9,4 @@
 mod organisations;
 mod requests;
 mod restoration;
+mod store_clock;
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -6,7 +6,7 @@
         field::{DataType, Field},
         overrides::Overrides,
     },
-    cowslip_adapter::text::parse_duration,
+    cowslip_adapter::text::parse_interval,
     cowslip_decide::names::Name,
     std::{
         cell::RefCell,
@@ -183,7 +183,7 @@
         match self.find_nonempty(field) {
             Some(found) => found.read_duration(),
             None => {
-                parse_duration(self.default_text(field)?).map_err(|_| self.missing_field(field))
+                parse_interval(self.default_text(field)?).map_err(|_| self.missing_field(field))
             }
         }
     }
@@ -344,7 +344,7 @@
     /// Returns the duration.
     fn read_duration(&self) -> Result<Duration> {
         let text = self.value.get_ref().as_str();
-        let parsed = text.and_then(|text| parse_duration(text).ok());
+        let parsed = text.and_then(|text| parse_interval(text).ok());
         parsed.ok_or_else(|| self.invalid_value(DataType::DurationText.to_string()))
     }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -53,6 +53,9 @@
 /// Cuts of links for each fault, if they are played.
 const CUT_SHARE: f64 = 0.3;
 
+/// Longest time for which the store has been up when a run begins: two years, in seconds.
+const MAX_STORE_UPTIME_S: u64 = 2 * 365 * 24 * 3600;
+
 /// Options of a run.
 #[derive(Clone, Debug)]
 pub struct RunOptions {
@@ -142,12 +145,22 @@
     }
 }
 
+/// Returns the time for which the store has been up when the run begins. Former builds cannot read a clock
+/// past one day.
+fn store_uptime(options: &RunOptions) -> Duration {
+    let mut random = StdRng::seed_from_u64(options.seed.rotate_left(48));
+    match options.former_path {
+        Some(_) => Duration::ZERO,
+        None => Duration::from_secs(random.random_range(0..MAX_STORE_UPTIME_S)),
+    }
+}
+
 async fn start_deployment(
     options: &RunOptions,
     observer: &Arc<TargetObserver>,
 ) -> Result<Deployment> {
     std::fs::create_dir_all(&options.work_directory)?;
-    let store = FakeStore::start().await;
+    let store = FakeStore::start_with_clock(store_uptime(options)).await;
     let mut targets = Vec::new();
     for (service, count) in SERVICES {
         for number in 0..count {
