feat(serve): the event of a refused attempt names its connection

Cause: the log told that a target refused two attempts of a request, not whether on one connection.

Change: connections to a target are numbered, and count their requests; CC0404 names both.

--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -229,7 +229,9 @@
             PermitOutcome::ServerError
         }
         ExchangeOutcome::Completed(_) => PermitOutcome::Served,
-        ExchangeOutcome::NotExecuted(metadata, _) if metadata.misdirected => PermitOutcome::Unused,
+        ExchangeOutcome::NotExecuted(refusal) if refusal.metadata.misdirected => {
+            PermitOutcome::Unused
+        }
         ExchangeOutcome::NotExecuted(..) => PermitOutcome::Shed,
         ExchangeOutcome::Unsent(ConnectError::LimitReached) | ExchangeOutcome::NotRelayed(_) => {
             PermitOutcome::Unused
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -5,7 +5,9 @@
         counter_guard::CounterGuard,
         relay_headers::{self, RelayReply},
         response_memory::ResponseMemory,
-        target_connections::{ConnectError, Connection, LimitStatement, TargetConnections},
+        target_connections::{
+            ConnectError, Connection, ConnectionUsage, LimitStatement, TargetConnections,
+        },
     },
     bytes::Bytes,
     cowslip_adapter::{
@@ -84,6 +86,17 @@
     }
 }
 
+/// Response of a target that it did not run a request.
+#[derive(Clone, Debug)]
+pub struct TargetRefusal {
+    /// Metadata of the response.
+    pub metadata: ResponseMetadata,
+    /// The response, without its body if that was not complete in time.
+    pub response: TargetResponse,
+    /// Connection on which the refused request was sent.
+    pub usage: ConnectionUsage,
+}
+
 /// Cause of [`ExchangeOutcome::Broken`] if the target closed the connection or has ended.
 const CONNECTION_CLOSED: &str = "connection closed before the response";
 
@@ -93,7 +106,7 @@
     /// The target answered.
     Completed(TargetResponse),
     /// The target answered that it did not run the request; the body of the response may be missing.
-    NotExecuted(ResponseMetadata, TargetResponse),
+    NotExecuted(TargetRefusal),
     /// No connection was available, so nothing was sent.
     Unsent(ConnectError),
     /// An instance that was asked to pass the request on sent nothing, and tells why.
@@ -247,13 +260,14 @@
     mut message: http::Request<RequestBody>,
     id: &HeaderValue,
 ) -> Option<ExchangeOutcome> {
-    let sender = &mut active.connection.as_mut()?.sender;
-    if sender.ready().await.is_err() {
+    let connection = active.connection.as_mut()?;
+    if connection.sender.ready().await.is_err() {
         return None;
     }
+    connection.usage.requests += 1;
     let interim = InterimResponses::count(&mut message);
     let sent = tokio::select! {
-        sent = sender.try_send_request(message) => sent,
+        sent = connection.sender.try_send_request(message) => sent,
         () = interim.exceeded() => {
             return Some(ExchangeOutcome::Broken("too many interim responses"));
         }
@@ -329,11 +343,15 @@
     metadata: ResponseMetadata,
 ) -> ExchangeOutcome {
     let (head, body) = response.into_parts();
+    let usage = active.connection.as_ref().map(|it| it.usage);
     let body = timeout(REFUSAL_BODY_TIMEOUT, memory.read_body(body)).await;
     let body = body.ok().flatten();
     if body.is_some() {
         active.finish(&metadata);
     }
-    let response = TargetResponse::new(&head, body.unwrap_or_default());
-    ExchangeOutcome::NotExecuted(metadata, response)
+    ExchangeOutcome::NotExecuted(TargetRefusal {
+        metadata,
+        response: TargetResponse::new(&head, body.unwrap_or_default()),
+        usage: usage.unwrap_or_default(),
+    })
 }
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -12,7 +12,7 @@
             permits::{self, Permit, PermitResult},
             request::CallerRequest,
             request_events,
-            target_connections::{ConnectError, TargetConnections},
+            target_connections::{ConnectError, ConnectionUsage, TargetConnections},
             target_selection::{self, Selection, select_target},
         },
     },
@@ -220,8 +220,8 @@
             AttemptOutcome::ServerError
         }
         ExchangeOutcome::Completed(_) => AttemptOutcome::Answered,
-        ExchangeOutcome::NotExecuted(metadata, _)
-            if metadata.misdirected && request.key.is_some() =>
+        ExchangeOutcome::NotExecuted(refusal)
+            if refusal.metadata.misdirected && request.key.is_some() =>
         {
             AttemptOutcome::NotOwner
         }
@@ -241,7 +241,14 @@
 ) {
     let (code, cause) = match (attempt, outcome) {
         (AttemptOutcome::NotOwner, _) => (events::WRONG_OWNER, "owner moved"),
-        (AttemptOutcome::Refused, _) => (events::TARGET_SHED, "refused"),
+        (AttemptOutcome::Refused, ExchangeOutcome::NotExecuted(refusal)) => {
+            let ConnectionUsage {
+                connection,
+                requests,
+            } = refusal.usage;
+            let cause = format!("refused on connection {connection}, its request {requests}");
+            return request_events::record(context, events::TARGET_SHED, request, target, &cause);
+        }
         (_, ExchangeOutcome::Unsent(cause)) => (events::NO_CONNECTION, cause.message()),
         (_, ExchangeOutcome::Broken(cause)) => (events::MAY_HAVE_RUN, *cause),
         (AttemptOutcome::DeadlinePassed, _) => (events::MAY_HAVE_RUN, "deadline passed"),
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -191,9 +191,8 @@
         target_path::send_directly(context, connections, target, request, max_connections).await;
     attempt::apply_notices(context, service, connections, target);
     match outcome {
-        ExchangeOutcome::Completed(response) | ExchangeOutcome::NotExecuted(_, response) => {
-            Ok(target_response(context, response))
-        }
+        ExchangeOutcome::Completed(response) => Ok(target_response(context, response)),
+        ExchangeOutcome::NotExecuted(refusal) => Ok(target_response(context, refusal.response)),
         ExchangeOutcome::Unsent(ConnectError::Closed) => {
             Ok(reply_response(&RelayReply::TargetClosed))
         }
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -48,11 +48,22 @@
 pub struct Connection {
     /// Sends requests on the connection.
     pub sender: SendRequest<RequestBody>,
+    /// Which connection this is, and its requests so far.
+    pub usage: ConnectionUsage,
     driver: JoinHandle<()>,
     idle_timeout: Duration,
     idle_since: Instant,
 }
 
+/// A connection to one incarnation of a target, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionUsage {
+    /// Number of the connection in the order in which those to the target were opened, from 1.
+    pub connection: u64,
+    /// Requests that were sent on it so far.
+    pub requests: u64,
+}
+
 /// Why no connection is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectError {
@@ -115,6 +126,8 @@
     pub limit_statement: Cell<Option<LimitStatement>>,
     idle: RefCell<Vec<Connection>>,
     open_count: Cell<u32>,
+    /// Connections opened so far.
+    opened: Cell<u64>,
 }
 
 impl Drop for Connection {
@@ -161,6 +174,7 @@
             limit_statement: Cell::new(None),
             idle: RefCell::default(),
             open_count: Cell::new(0),
+            opened: Cell::new(0),
         }
     }
 
@@ -216,9 +230,11 @@
         let opened = timeout(CONNECT_TIMEOUT, connect(self.address)).await;
         match opened {
             Ok(Ok(connection)) if connection.is_reset().await => Err(ConnectError::Reset),
-            Ok(Ok(connection)) => {
+            Ok(Ok(mut connection)) => {
                 self.avoid_until.set(None);
                 self.opened_at.set(Some(Instant::now()));
+                self.opened.set(self.opened.get() + 1);
+                connection.usage.connection = self.opened.get();
                 // The connection counts until it is closed.
                 forget(counted);
                 Ok(connection)
@@ -305,6 +321,7 @@
     let driver = spawn_local(async move { drop(driver.await) });
     Ok(Connection {
         sender,
+        usage: ConnectionUsage::default(),
         driver,
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
         idle_since: Instant::now(),
