fix(serve): a request is not sent again on a connection on which it was answered

Cause: all attempts of a request have the id that the caller chose, and the next attempt went out on the connection on which the last one had been refused. A copy of the refusal that the target sent there was taken for the answer to that attempt, which ran. A refusal without an id could be taken for the answer to any request.

Ruled out: two attempts at once (the events are 120 ms apart), a target that refuses twice (its record).

Fix: a connection keeps the ids of requests that were answered on it and may be sent again, until their deadlines; they go on another connection.

--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -14,12 +14,16 @@
         headers::{self, ResponseMetadata},
         interim_responses::InterimResponses,
     },
-    cowslip_decide::names::Name,
+    cowslip_decide::{
+        names::Name,
+        unsettled::{ConnectionFate, RequestIdHash},
+    },
     http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header, response},
     http_body_util::Full,
     hyper::body::Incoming,
     std::time::Duration,
     tokio::time::{Instant, timeout, timeout_at},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Body of every request to a target.
@@ -74,6 +78,12 @@
     pub body: Bytes,
 }
 
+impl TargetRequest<'_> {
+    fn id_hash(&self) -> RequestIdHash {
+        RequestIdHash(xxh3_64(self.id.as_bytes()))
+    }
+}
+
 impl TargetResponse {
     fn new(head: &response::Parts, body: Bytes) -> Self {
         let mut headers = headers::copy_end_to_end(&head.headers);
@@ -147,13 +157,25 @@
 }
 
 impl ActiveConnection<'_> {
-    /// Keeps the connection after a complete response, unless its sender closes it.
-    fn finish(self, metadata: &ResponseMetadata) {
-        if !metadata.closes_connection {
+    /// Keeps the connection after a complete response, unless its sender or this side closes it.
+    fn finish(self, metadata: &ResponseMetadata, fate: ConnectionFate) {
+        if !metadata.closes_connection && fate == ConnectionFate::Keep {
             self.return_idle(metadata.keep_alive);
         }
     }
 
+    /// Records a response after which the request may be sent again; returns what to do with the connection.
+    fn record_unsettled(&mut self, request: &TargetRequest<'_>, has_id: bool) -> ConnectionFate {
+        let Some(connection) = self.connection.as_mut() else {
+            return ConnectionFate::Close;
+        };
+        let id = has_id.then(|| request.id_hash());
+        let now = Instant::now();
+        connection
+            .unsettled
+            .record_response(id, request.deadline, now)
+    }
+
     fn return_idle(mut self, keep_alive: Option<Duration>) {
         if let Some(connection) = self.connection.take() {
             self.pool.return_idle(connection, keep_alive);
@@ -183,7 +205,7 @@
         false => request.deadline + RESPONSE_GRACE,
     };
     let start = Instant::now();
-    let mut idle = path.pool.take_idle();
+    let mut idle = path.pool.take_idle(request.id_hash());
     loop {
         let (connection, is_reused) = match idle.take() {
             Some(connection) => (connection, true),
@@ -202,12 +224,12 @@
         };
         match timeout_at(
             response_deadline,
-            send_on_connection(memory, path, active, message, request.id),
+            send_on_connection(memory, path, active, message, &request),
         )
         .await
         {
             // The connection was closed while idle, so nothing was sent on it.
-            Ok(None) if is_reused => idle = path.pool.take_idle(),
+            Ok(None) if is_reused => idle = path.pool.take_idle(request.id_hash()),
             Ok(None) => return ExchangeOutcome::Unsent(ConnectError::Failed),
             Ok(Some(outcome)) => {
                 if matches!(outcome, ExchangeOutcome::Completed(_)) {
@@ -258,7 +280,7 @@
     path: &Path<'_>,
     mut active: ActiveConnection<'_>,
     mut message: http::Request<RequestBody>,
-    id: &HeaderValue,
+    request: &TargetRequest<'_>,
 ) -> Option<ExchangeOutcome> {
     let connection = active.connection.as_mut()?;
     if connection.sender.ready().await.is_err() {
@@ -273,7 +295,7 @@
         }
     };
     match sent {
-        Ok(response) => Some(receive_response(memory, path, active, response, id).await),
+        Ok(response) => Some(receive_response(memory, path, active, response, request).await),
         Err(mut error) => match error.take_message() {
             Some(_) => None,
             None if error.error().is_parse() => Some(ExchangeOutcome::Broken("malformed response")),
@@ -286,9 +308,9 @@
 async fn receive_response(
     memory: &ResponseMemory,
     path: &Path<'_>,
-    active: ActiveConnection<'_>,
+    mut active: ActiveConnection<'_>,
     mut response: Response<Incoming>,
-    id: &HeaderValue,
+    request: &TargetRequest<'_>,
 ) -> ExchangeOutcome {
     let target = path.target;
     if path.relay.is_some() {
@@ -307,8 +329,8 @@
     target.record_notices(&metadata, Instant::now());
     // A refusal may lack the id, but one with another id is a late response to another request.
     let is_other = match metadata.not_executed {
-        true => headers::has_other_request_id(response.headers(), id),
-        false => !headers::has_request_id(response.headers(), id),
+        true => headers::has_other_request_id(response.headers(), request.id),
+        false => !headers::has_request_id(response.headers(), request.id),
     };
     if is_other {
         return ExchangeOutcome::Broken("response to another request");
@@ -317,15 +339,20 @@
         target.load.set(Some((load, Instant::now())));
     }
     if metadata.not_executed {
-        return receive_refusal(memory, active, response, metadata).await;
+        return receive_refusal(memory, active, response, metadata, request).await;
     }
+    let is_signed = metadata.signed || !response.status().is_success();
+    let fate = match response.status().is_server_error() || !is_signed {
+        true => active.record_unsettled(request, true),
+        false => ConnectionFate::Keep,
+    };
     let (head, body) = response.into_parts();
     // The caller of this function sets the time limit.
     let Some(body) = memory.read_body(body).await else {
         return ExchangeOutcome::Broken("response truncated or too long");
     };
-    active.finish(&metadata);
-    if head.status.is_success() && !metadata.signed {
+    active.finish(&metadata, fate);
+    if !is_signed {
         return ExchangeOutcome::Broken("response without a signature");
     }
     // Refusals need not name the limit.
@@ -338,16 +365,19 @@
 /// Reads the body of a refusal; without it, the connection is not used again.
 async fn receive_refusal(
     memory: &ResponseMemory,
-    active: ActiveConnection<'_>,
+    mut active: ActiveConnection<'_>,
     response: Response<Incoming>,
     metadata: ResponseMetadata,
+    request: &TargetRequest<'_>,
 ) -> ExchangeOutcome {
+    let has_id = headers::has_request_id(response.headers(), request.id);
+    let fate = active.record_unsettled(request, has_id);
     let (head, body) = response.into_parts();
     let usage = active.connection.as_ref().map(|it| it.usage);
     let body = timeout(REFUSAL_BODY_TIMEOUT, memory.read_body(body)).await;
     let body = body.ok().flatten();
     if body.is_some() {
-        active.finish(&metadata);
+        active.finish(&metadata, fate);
     }
     ExchangeOutcome::NotExecuted(TargetRefusal {
         metadata,
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -8,7 +8,12 @@
         http_client::MAX_READ_BUFFER_BYTES,
         targets::TargetReport,
     },
-    cowslip_decide::{limits::RateLimit, names::Name, service_time::ServiceTime},
+    cowslip_decide::{
+        limits::RateLimit,
+        names::Name,
+        service_time::ServiceTime,
+        unsettled::{RequestIdHash, UnsettledRequests},
+    },
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     socket2::SockRef,
@@ -50,6 +55,8 @@
     pub sender: SendRequest<RequestBody>,
     /// Which connection this is, and its requests so far.
     pub usage: ConnectionUsage,
+    /// Requests that may not be sent again on the connection.
+    pub unsettled: UnsettledRequests,
     driver: JoinHandle<()>,
     idle_timeout: Duration,
     idle_since: Instant,
@@ -202,8 +209,9 @@
         self.quiet_until.set(self.quiet_until.get().max(end));
     }
 
-    /// Drops idle connections that are closed or past their timeout; returns one of the others.
-    pub fn take_idle(&self) -> Option<Connection> {
+    /// Drops idle connections that are closed or past their timeout; returns one of the others on which a
+    /// request with this id may be sent.
+    pub fn take_idle(&self, id: RequestIdHash) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
         idle.retain(|connection| {
@@ -214,15 +222,17 @@
             }
             is_usable
         });
-        idle.pop()
+        let usable = idle.iter().rposition(|it| it.unsettled.admits(id))?;
+        Some(idle.remove(usable))
     }
 
-    /// Opens a connection if fewer than `max_connections` are open.
+    /// Opens a connection if fewer than `max_connections` are open. If not, an idle connection, on which the
+    /// request may not be sent, is closed for it.
     ///
     /// # Errors
     /// Fails if the limit is reached or the connection could not be opened.
     pub async fn open(&self, max_connections: u32) -> Result<Connection, ConnectError> {
-        if self.open_count.get() >= max_connections {
+        if self.open_count.get() >= max_connections && !self.close_oldest_idle() {
             return Err(ConnectError::LimitReached);
         }
         // Callers may leave meanwhile, and then drop this.
@@ -273,6 +283,17 @@
         idle.iter().any(|connection| !connection.sender.is_closed())
     }
 
+    /// Closes the connection that has been idle for the longest time; returns whether there was one.
+    fn close_oldest_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        if idle.is_empty() {
+            return false;
+        }
+        idle.remove(0);
+        self.count_closed();
+        true
+    }
+
     /// Closes the idle connections.
     pub fn close_idle(&self) {
         for _ in self.idle.borrow_mut().drain(..) {
@@ -322,6 +343,7 @@
     Ok(Connection {
         sender,
         usage: ConnectionUsage::default(),
+        unsettled: UnsettledRequests::default(),
         driver,
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
         idle_since: Instant::now(),
--- a/crates/cowslipcross/src/serve/target_connections_tests.rs
+++ b/crates/cowslipcross/src/serve/target_connections_tests.rs
@@ -3,11 +3,13 @@
 use {
     super::{ConnectError, TargetConnections},
     cowslip_adapter::targets::TargetReport,
+    cowslip_decide::unsettled::RequestIdHash,
     std::{future::ready, net::SocketAddr, time::Duration},
     tokio::{
         net::TcpListener,
         select,
         task::{LocalSet, spawn_local},
+        time::Instant,
     },
 };
 
@@ -67,6 +69,34 @@
         .await;
 }
 
+/// Guards against a request that fails because the only connections that the target accepts from this instance
+/// have carried an answer to it.
+#[tokio::test]
+async fn a_connection_on_which_a_request_was_refused_makes_room_for_another_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let connections = connections_to(listener.local_addr().expect("an address"));
+    let (refused, other) = (RequestIdHash(1), RequestIdHash(2));
+    LocalSet::new()
+        .run_until(async {
+            let mut opened = connections.open(1).await.expect("a connection");
+            let now = Instant::now();
+            let deadline = now + Duration::from_secs(2);
+            opened
+                .unsettled
+                .record_response(Some(refused), deadline, now);
+            connections.return_idle(opened, None);
+            assert!(connections.take_idle(refused).is_none());
+            let opened = connections.open(1).await.expect("another connection");
+            assert_eq!(opened.usage.connection, 2);
+            assert!(
+                connections.take_idle(other).is_none(),
+                "the first one is closed"
+            );
+            assert_eq!(connections.open_count.get(), 1);
+        })
+        .await;
+}
+
 /// Guards against an answer that says that a request may have run, although no target had read it.
 #[tokio::test]
 async fn a_connection_that_the_target_resets_at_once_is_not_used() {
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -4,6 +4,7 @@
 mod cut_off;
 mod deployment;
 mod faulty_targets;
+mod late_copies;
 mod limited_targets;
 mod operators;
 mod organisations;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod service_time;
 pub mod spill;
 pub mod traffic_split;
+pub mod unsettled;
 pub mod verdict;
