--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -6,6 +6,7 @@
 mod faulty_targets;
 mod late_copies;
 mod limited_targets;
+mod odd_reports;
 mod operators;
 mod organisations;
 mod requests;
