fix(events): the details of an event are cut at 600 bytes

Operators would see: log lines of up to 163,072 bytes, up to 50 a second, while a long entry among the reports of targets can't be read; 512 of them are kept in memory. On an instance of 120 MB that is most of its memory.

Cause: errors quote what can't be read, and events had no bound of their own.

Fix: where an event is made, its details are cut at 600 bytes and its names at 200, with the full length.

Test, failed before: instance long_odd_reports_do_not_exhaust_the_memory (a line of 163,072 bytes; bound 4 KiB).

--- a/crates/cowslipcross/src/events.rs
+++ b/crates/cowslipcross/src/events.rs
@@ -41,6 +41,36 @@
     pub detail: Option<String>,
 }
 
+/// Longest detail of an event, in bytes; a longer one is cut, as it may quote what a peer has sent.
+const MAX_DETAIL_BYTES: usize = 600;
+/// Longest name in a field of an event, in bytes.
+const MAX_NAME_BYTES: usize = 200;
+
+impl EventFields {
+    /// Cuts texts that are too long, so that the log and the kept events are bounded.
+    fn shortened(self) -> Self {
+        let name = |it: Option<Name>| it.map(|name| shorten(&name, MAX_NAME_BYTES).unwrap_or(name));
+        Self {
+            request: name(self.request),
+            key: name(self.key),
+            target: name(self.target),
+            instance: name(self.instance),
+            detail: self
+                .detail
+                .map(|it| shorten(&it, MAX_DETAIL_BYTES).unwrap_or(it)),
+        }
+    }
+}
+
+/// Returns the beginning of a text with its length; `None` if the text is not longer than `max_bytes`.
+fn shorten<T: From<String>>(text: &str, max_bytes: usize) -> Option<T> {
+    let length = text.len();
+    (length > max_bytes).then(|| {
+        let kept = &text[..text.floor_char_boundary(max_bytes)];
+        format!("{kept}… ({length} bytes)").into()
+    })
+}
+
 /// The process that records the events.
 #[derive(Clone, Debug)]
 pub struct Origin {
--- a/crates/cowslipcross/src/events/ring.rs
+++ b/crates/cowslipcross/src/events/ring.rs
@@ -80,6 +80,7 @@
         kind: &EventKind,
         fields: EventFields,
     ) -> Self {
+        let fields = fields.shortened();
         Self {
             seq: 0,
             stamp: timestamp,
--- a/crates/cowslipcross/tests/instance/odd_reports.rs
+++ b/crates/cowslipcross/tests/instance/odd_reports.rs
@@ -11,6 +11,14 @@
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
 /// Largest row of the store.
 const MAX_ROW_BYTES: usize = 64 << 10;
+/// Memory of the smallest instances.
+const INSTANCE_MEMORY_BYTES: u64 = 120 << 20;
+/// Time in which the leader reads the targets over twenty times.
+const READ_TIME: Duration = Duration::from_secs(14);
+/// Rows that are as long as they may be.
+const LONG_ROWS: usize = 40;
+/// Longest line of the log.
+const MAX_LOG_LINE_BYTES: usize = 4 << 10;
 
 /// Returns a report with one field replaced by this JSON.
 fn report_with(field: &str, json: &str) -> String {
@@ -104,3 +112,30 @@
     })
     .await;
 }
+
+/// Guards against memory and logs that grow with the length of what cannot be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_odd_reports_do_not_exhaust_the_memory() {
+    let deployment = Deployment::start(1, 2, 2, PROCESSING_TIME).await;
+    let length = MAX_ROW_BYTES - 400;
+    let texts = [
+        "\\u0001".repeat(length / 6),
+        "\u{e0001}".repeat(length / 4),
+        "x".repeat(length),
+    ];
+    let fields = ["Address", "State", "ColdRemaining", "Service", "Zone"];
+    for index in 0..LONG_ROWS {
+        let json = format!(r#""{}""#, texts[index % texts.len()]);
+        let report = report_with(fields[index % fields.len()], &json);
+        let key = format!("odd{index}");
+        deployment.store.put("servers", &key, report.as_bytes());
+    }
+    sleep(READ_TIME).await;
+    let instance = &deployment.instances[0];
+    let peak = instance.peak_memory();
+    assert!(peak < INSTANCE_MEMORY_BYTES, "{peak} bytes");
+    let longest = instance.log().lines().map(str::len).max();
+    assert!(longest < Some(MAX_LOG_LINE_BYTES), "{longest:?} bytes");
+    let response = instance.send(removal_request("after", 7)).await;
+    assert_eq!(response.expect("a response").status, StatusCode::OK);
+}
