test(instance): responses that are cut near each line's end, in the body or by a reset are no success

Another operator reported clients that got a 200 with an empty or short body after a target had stopped in the middle of a head.

--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -2,6 +2,7 @@
 
 mod crashing_requests;
 mod cut_off;
+mod cut_responses;
 mod deployment;
 mod faulty_targets;
 mod late_copies;
