fix(memory): bodies hold at most twice their length, in one budget for the process

Cause: the bounds counted bytes of data, while each piece of a body kept the read buffer of 8 KiB in which it came.

Fix: one function reads the bodies of responses to requests and to calls. It copies pieces together and counts what is held in a budget, half of the new setting memory (from the platform's MemoryMb), until the last reference to the body is gone. Part of it is left to small bodies. Metrics body_bytes and refused_bodies.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -10,8 +10,7 @@
         serve::{
             blocked_keys::BlockedKeys, coordinator::Coordinator,
             crashing_requests::CrashingRequests, organisations::Organisations, permits::Permits,
-            quiet_targets::QuietTargets, response_memory::ResponseMemory, routes::Routes,
-            target_connections::TargetConnections,
+            quiet_targets::QuietTargets, routes::Routes, target_connections::TargetConnections,
         },
         views::{
             target_notices::TargetNotices, target_snapshot::TargetSnapshot,
@@ -20,6 +19,7 @@
     },
     cowslip_adapter::{config::Config, store::Store},
     cowslip_decide::{
+        body_budget::BodyBudget,
         election::LeaderElection,
         limits::{RetryBudget, RetryWindow},
         names::{Incarnation, Name, StoreVersion},
@@ -35,6 +35,7 @@
         collections::BTreeMap,
         net::SocketAddr,
         rc::Rc,
+        sync::Arc,
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{
@@ -51,6 +52,8 @@
 /// Number of instances assumed before the first heartbeat; high, so that this instance's share of
 /// the limits that are divided among all starts small.
 const ASSUMED_INSTANCES: u32 = 100;
+/// Bytes that bodies of messages may hold for each MiB of the instance's memory: half of it.
+const BODY_BYTES_PER_MIB: f64 = 0.5 * 1024.0 * 1024.0;
 /// Events kept for operators.
 const EVENT_CAPACITY: usize = 512;
 
@@ -158,8 +161,8 @@
     pub quiet_targets: RefCell<QuietTargets>,
     /// Requests that crash the targets that run them.
     pub crashing_requests: RefCell<CrashingRequests>,
-    /// Memory for the bodies of targets' responses.
-    pub response_memory: ResponseMemory,
+    /// Memory for the bodies of all messages.
+    pub body_budget: Arc<BodyBudget>,
     /// Targets that may have restarted since their last report.
     pub restarts: RefCell<Restarts>,
     /// Whether this instance reaches targets on its own path.
@@ -237,14 +240,16 @@
             incarnation,
         };
         let logger = logger::stdout(spdlog::Level::Debug)?;
+        let body_budget = BodyBudget::new((settings.memory * BODY_BYTES_PER_MIB) as usize);
         Ok(Self {
             bounds: RefCell::new(settings.bounds.clone()),
             run_id: format!("{}-{:x}", settings.name, rand::random::<u64>()),
             events: EventLog::new(origin, EVENT_CAPACITY, Some(logger)),
             metrics: Metrics::default(),
-            watch_store: Store::new(settings.store),
-            target_store: Store::new(settings.store),
-            router_store: Store::new(settings.store),
+            watch_store: Store::new(settings.store, body_budget.clone()),
+            target_store: Store::new(settings.store, body_budget.clone()),
+            router_store: Store::new(settings.store, body_budget.clone()),
+            body_budget,
             store_era: Cell::new(None),
             restored_at: Cell::new(None),
             unknown_until: Cell::new(None),
@@ -269,7 +274,6 @@
             target_notices: RefCell::default(),
             quiet_targets: RefCell::default(),
             crashing_requests: RefCell::default(),
-            response_memory: ResponseMemory::default(),
             restarts: RefCell::default(),
             reach: RefCell::default(),
             relays: RefCell::default(),
--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -13,6 +13,7 @@
     },
     cowslip_adapter::config::Route,
     cowslip_decide::{
+        body_budget::{BodyBudget, BodyKind},
         names::Name,
         owners::{Command, CommandOutcome},
     },
@@ -42,6 +43,8 @@
     avoided_targets: IntGauge,
     leaving_centres: IntGauge,
     unreadable_reports: IntGauge,
+    body_bytes: GaugeVec,
+    refused_bodies: GaugeVec,
     config_version: IntGauge,
     is_leader: IntGauge,
     active_requests: IntGauge,
@@ -135,6 +138,16 @@
                 "unreadable_reports",
                 "Reports of targets that cannot be read.",
             ),
+            body_bytes: registry.gauge_with_labels(
+                "body_bytes",
+                "Memory of bodies of messages: held now, the most so far, and the limit.",
+                &["what"],
+            ),
+            refused_bodies: registry.gauge_with_labels(
+                "refused_bodies",
+                "Bodies that were given up for want of memory since the start.",
+                &["from"],
+            ),
             config_version: registry
                 .gauge("config_version", "Version of the configuration in force."),
             is_leader: registry.gauge("leads", "1 while this instance is the leader."),
@@ -281,9 +294,27 @@
             .set(coordinator::leaving_centres(context) as i64);
         self.set_view_ages(ViewAges::from(context));
         self.set_organisations(&context.organisations);
+        self.set_bodies(&context.body_budget);
         self.registry.render()
     }
 
+    /// Sets the memory of bodies and the number of those that had no room.
+    fn set_bodies(&self, budget: &BodyBudget) {
+        let bytes = [
+            ("held", budget.held()),
+            ("peak", budget.peak()),
+            ("limit", budget.limit()),
+        ];
+        for (what, bytes) in bytes {
+            self.body_bytes.with_label_values(&[what]).set(bytes as f64);
+        }
+        for kind in BodyKind::ALL {
+            let refused = budget.refused(kind) as f64;
+            let gauge = self.refused_bodies.with_label_values(&[kind.as_str()]);
+            gauge.set(refused);
+        }
+    }
+
     /// Sets the requests of the largest organisations; smaller ones that were larger before are dropped.
     fn set_organisations(&self, organisations: &Organisations) {
         let (largest, others) = organisations.largest();
--- a/crates/cowslipcross/src/serve.rs
+++ b/crates/cowslipcross/src/serve.rs
@@ -16,7 +16,6 @@
 pub mod relay_server;
 pub mod request;
 mod request_events;
-pub mod response_memory;
 pub mod routes;
 pub mod server;
 pub mod target_connections;
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -4,24 +4,25 @@
     crate::serve::{
         counter_guard::CounterGuard,
         relay_headers::{self, RelayReply},
-        response_memory::ResponseMemory,
         target_connections::{
             ConnectError, Connection, ConnectionUsage, LimitStatement, TargetConnections,
         },
     },
     bytes::Bytes,
     cowslip_adapter::{
+        body_reader::{self, BodyError},
         headers::{self, ResponseMetadata},
         interim_responses::InterimResponses,
     },
     cowslip_decide::{
+        body_budget::{BodyBudget, BodyKind, BodyRoom},
         names::Name,
         unsettled::{ConnectionFate, RequestIdHash},
     },
     http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header, response},
     http_body_util::Full,
     hyper::body::Incoming,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -33,6 +34,9 @@
 /// target may still report whether the request ran.
 const RESPONSE_GRACE: Duration = Duration::from_millis(120);
 
+/// Longest body of a response that is passed on: 32 MiB.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
+
 /// Time within which the body of a refusal has to be complete, so that its connection can be used
 /// again; the outcome is known without the body.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
@@ -193,7 +197,7 @@
 
 /// Sends a request on an idle or new connection and waits for the complete response.
 pub async fn send_request(
-    memory: &ResponseMemory,
+    budget: &Arc<BodyBudget>,
     path: &Path<'_>,
     target: &Name,
     request: TargetRequest<'_>,
@@ -224,7 +228,7 @@
         };
         match timeout_at(
             response_deadline,
-            send_on_connection(memory, path, active, message, &request),
+            send_on_connection(budget, path, active, message, &request),
         )
         .await
         {
@@ -276,7 +280,7 @@
 
 /// Sends a request on a connection; returns `None` if it was closed before anything was sent.
 async fn send_on_connection(
-    memory: &ResponseMemory,
+    budget: &Arc<BodyBudget>,
     path: &Path<'_>,
     mut active: ActiveConnection<'_>,
     mut message: http::Request<RequestBody>,
@@ -295,7 +299,7 @@
         }
     };
     match sent {
-        Ok(response) => Some(receive_response(memory, path, active, response, request).await),
+        Ok(response) => Some(receive_response(budget, path, active, response, request).await),
         Err(mut error) => match error.take_message() {
             Some(_) => None,
             None if error.error().is_parse() => Some(ExchangeOutcome::Broken("malformed response")),
@@ -306,13 +310,17 @@
 
 /// Reads the rest of a response and keeps its connection for reuse.
 async fn receive_response(
-    memory: &ResponseMemory,
+    budget: &Arc<BodyBudget>,
     path: &Path<'_>,
     mut active: ActiveConnection<'_>,
     mut response: Response<Incoming>,
     request: &TargetRequest<'_>,
 ) -> ExchangeOutcome {
     let target = path.target;
+    let kind = match path.relay {
+        Some(_) => BodyKind::Instance,
+        None => BodyKind::Target,
+    };
     if path.relay.is_some() {
         match relay_headers::take_reply(response.headers_mut()) {
             Some(RelayReply::PassedOn(data_centre)) => {
@@ -339,7 +347,7 @@
         target.load.set(Some((load, Instant::now())));
     }
     if metadata.not_executed {
-        return receive_refusal(memory, active, response, metadata, request).await;
+        return receive_refusal(budget.open_room(kind), active, response, metadata, request).await;
     }
     let is_signed = metadata.signed || !response.status().is_success();
     let fate = match response.status().is_server_error() || !is_signed {
@@ -348,8 +356,11 @@
     };
     let (head, body) = response.into_parts();
     // The caller of this function sets the time limit.
-    let Some(body) = memory.read_body(body).await else {
-        return ExchangeOutcome::Broken("response truncated or too long");
+    let read = body_reader::read_body(body, budget.open_room(kind), MAX_RESPONSE_BYTES);
+    let body = match read.await {
+        Ok(body) => body,
+        Err(BodyError::NoRoom) => return ExchangeOutcome::Broken("no memory for the response"),
+        Err(_) => return ExchangeOutcome::Broken("response truncated or too long"),
     };
     active.finish(&metadata, fate);
     if !is_signed {
@@ -364,7 +375,7 @@
 
 /// Reads the body of a refusal; without it, the connection is not used again.
 async fn receive_refusal(
-    memory: &ResponseMemory,
+    room: BodyRoom,
     mut active: ActiveConnection<'_>,
     response: Response<Incoming>,
     metadata: ResponseMetadata,
@@ -374,8 +385,9 @@
     let fate = active.record_unsettled(request, has_id);
     let (head, body) = response.into_parts();
     let usage = active.connection.as_ref().map(|it| it.usage);
-    let body = timeout(REFUSAL_BODY_TIMEOUT, memory.read_body(body)).await;
-    let body = body.ok().flatten();
+    let read = body_reader::read_body(body, room, MAX_RESPONSE_BYTES);
+    let body = timeout(REFUSAL_BODY_TIMEOUT, read).await;
+    let body = body.ok().and_then(Result::ok);
     if body.is_some() {
         active.finish(&metadata, fate);
     }
--- a/crates/cowslipcross/src/serve/target_path.rs
+++ b/crates/cowslipcross/src/serve/target_path.rs
@@ -97,9 +97,9 @@
         target: connections,
         relay: None,
     };
-    let memory = &context.response_memory;
+    let budget = &context.body_budget;
     let last_opened = connections.opened_at.get();
-    let outcome = exchange::send_request(memory, &path, &target.id, request, max_connections).await;
+    let outcome = exchange::send_request(budget, &path, &target.id, request, max_connections).await;
     if connections.opened_at.get() != last_opened {
         record_opened(context);
     }
@@ -307,9 +307,9 @@
         target: connections,
         relay: Some(relay.into()),
     };
-    let memory = &context.response_memory;
+    let budget = &context.body_budget;
     let max = MAX_RELAY_CONNECTIONS;
-    let outcome = exchange::send_request(memory, &path, &target.id, request, max).await;
+    let outcome = exchange::send_request(budget, &path, &target.id, request, max).await;
     let mut relays = context.relays.borrow_mut();
     let now = Instant::now();
     match &outcome {
--- a/crates/cowslipctl/src/configuration.rs
+++ b/crates/cowslipctl/src/configuration.rs
@@ -11,11 +11,15 @@
         config::Config,
         store::{OPERATOR_TABLE, OperatorRow, Row, Store},
     },
+    cowslip_decide::body_budget::BodyBudget,
     cowslip_settings::operator::OperatorSettings,
     serde_json::{Value, json},
     std::{fs, path::Path, time::Duration},
 };
 
+/// Memory for responses of the store: 64 MiB.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
 /// A configuration and where it was read from.
 pub(crate) struct NamedConfig {
     name: String,
@@ -124,7 +128,7 @@
         || Error::MissingInput("settings: store: missing, expected an address".to_owned());
     let address = settings.store.ok_or_else(missing_store)?;
     let time_limit = Duration::from_millis(settings.timeout_ms);
-    let rows = Store::new(address)
+    let rows = Store::new(address, BodyBudget::new(MAX_RESPONSE_BYTES))
         .read_table(OPERATOR_TABLE, time_limit)
         .await;
     let rows = rows.map_err(|error| Error::Unreachable(error.to_string()))?;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod allotments;
 pub mod attempts;
+pub mod body_budget;
 pub mod crashes;
 pub mod election;
 pub mod formats;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -61,6 +61,14 @@
     description: "Bandwidth of the instance's link; on narrow ones requests leave their data centre only if that pays.",
 };
 
+const MEMORY_FIELD: Field = Field {
+    path: "memory",
+    data_type: DataType::Decimal,
+    unit: "MiB",
+    default: Some("260"),
+    description: "Memory of the instance; half of it may be held by bodies of messages.",
+};
+
 const BOOTSTRAP_FIELD: Field = Field {
     path: "bootstrap",
     data_type: DataType::Flag,
@@ -82,6 +90,8 @@
     pub cpu: f64,
     /// Bandwidth of the instance's link in Mbit/s.
     pub link: f64,
+    /// Memory of the instance in MiB.
+    pub memory: f64,
     /// Whether the whole system starts for the first time, so that no target can own keys yet.
     pub bootstrap: bool,
     /// Bearer token for `/status` and `/events`; if empty, all requests to them are denied.
@@ -127,6 +137,7 @@
         store: root.read_address(&STORE_FIELD)?,
         cpu: root.read_decimal(&CPU_FIELD)?,
         link: root.read_decimal(&LINK_FIELD)?,
+        memory: root.read_decimal(&MEMORY_FIELD)?,
         bootstrap: root.read_flag(&BOOTSTRAP_FIELD)?,
         token: root.read_text(&TOKEN_FIELD)?,
         listen: ListenAddresses::from_root(root)?,
@@ -142,6 +153,7 @@
         STORE_FIELD,
         CPU_FIELD,
         LINK_FIELD,
+        MEMORY_FIELD,
         BOOTSTRAP_FIELD,
         TOKEN_FIELD,
     ],
