fix(serve): bodies of requests count against the memory for bodies

Cause: bodies of requests were collected whole, copied once more, and had no bound together; likewise those that another instance passes on.

Fix: both are read by the common reader. A body without room is refused with 503 and Retry-After, before it is read if its length is told; bodies of callers leave room for the responses to requests that were let in.

--- a/crates/cowslipcross/src/serve/caller_response.rs
+++ b/crates/cowslipcross/src/serve/caller_response.rs
@@ -23,6 +23,9 @@
 /// Time after which a caller of an instance without a configuration should come back.
 const NO_CONFIG_WAIT: Duration = Duration::from_millis(300);
 
+/// Time after which a caller should come back whose body had no room; most bodies are held for less.
+const NO_ROOM_WAIT: Duration = Duration::from_millis(500);
+
 /// A refusal: the request has not run and will not run.
 #[derive(Clone, Debug)]
 pub struct Refusal {
@@ -85,6 +88,7 @@
     let mut response = text_response(bad.status(), bad.message());
     let wait = match bad {
         BadRequest::NoConfig => Some(NO_CONFIG_WAIT),
+        BadRequest::NoRoom => Some(NO_ROOM_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER))),
         BadRequest::OverAllotment(wait) => {
             Some(wait.mul_f64(rand::random_range(RETRY_AFTER_JITTER)))
         }
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -14,10 +14,10 @@
         },
     },
     bytes::Bytes,
-    cowslip_adapter::headers,
-    cowslip_decide::{names::Name, owners::TargetIncarnation},
+    cowslip_adapter::{body_reader, headers},
+    cowslip_decide::{body_budget::BodyKind, names::Name, owners::TargetIncarnation},
     http::{HeaderMap, HeaderValue, Response, StatusCode, header, request::Parts},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{fmt, net::IpAddr, rc::Rc, time::Duration},
@@ -167,7 +167,8 @@
     };
     let config = context.config.borrow().clone();
     let max_bytes = config.map_or(0, |it| it.limits.body_bytes);
-    let body = timeout_at(deadline, Limited::new(body, max_bytes).collect()).await;
+    let room = context.body_budget.open_room(BodyKind::Instance);
+    let body = timeout_at(deadline, body_reader::read_body(body, room, max_bytes)).await;
     let Ok(Ok(body)) = body else {
         return denied();
     };
@@ -177,7 +178,7 @@
         method: &parts.method,
         path: path.map_or("/", |it| it.as_str()),
         headers: &request::forwarded_headers(&parts.headers),
-        body: &body.to_bytes(),
+        body: &body,
         deadline,
         idempotent,
     };
--- a/crates/cowslipcross/src/serve/request.rs
+++ b/crates/cowslipcross/src/serve/request.rs
@@ -10,10 +10,14 @@
         },
     },
     bytes::Bytes,
-    cowslip_adapter::{config::Route, headers, organisations::Organisation},
-    cowslip_decide::names::Name,
+    cowslip_adapter::{
+        body_reader::{self, BodyError},
+        config::Route,
+        headers,
+        organisations::Organisation,
+    },
+    cowslip_decide::{body_budget::BodyKind, names::Name},
     http::{HeaderMap, HeaderValue, Method, StatusCode, header, request::Parts},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     std::{net::IpAddr, rc::Rc, time::Duration},
     tokio::time::{Instant, timeout_at},
@@ -82,6 +86,8 @@
     InvalidDeadline,
     /// The body exceeds the size limit.
     BodyTooLong,
+    /// There is no memory for the body now.
+    NoRoom,
     /// The connection failed before the end of the body.
     BodyTruncated,
     /// The body was incomplete at the deadline.
@@ -92,7 +98,7 @@
     /// Returns the status code of the response.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfig => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverAllotment(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -115,6 +121,7 @@
             Self::InvalidKey(_) => "key missing or no number from 0 to 65535",
             Self::InvalidDeadline => "deadline is no number of milliseconds",
             Self::BodyTooLong => "body too long",
+            Self::NoRoom => "no memory for the body now",
             Self::BodyTruncated => "body ended early",
             Self::BodyTimeout => "body not whole in time",
         }
@@ -144,7 +151,7 @@
     if is_sharded && key.is_none() {
         return Err(BadRequest::InvalidKey(String::new()));
     }
-    let body = read_body(body, config.limits.body_bytes, deadline).await?;
+    let body = read_body(context, body, config.limits.body_bytes, deadline).await?;
     let path = parts.uri.path_and_query();
     let path = path.map_or_else(|| "/".to_owned(), ToString::to_string);
     let key = key.filter(|_| is_sharded);
@@ -227,14 +234,17 @@
 }
 
 async fn read_body(
+    context: &Context,
     body: Incoming,
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, BadRequest> {
-    match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BadRequest::BodyTooLong),
-        Ok(Err(_)) => Err(BadRequest::BodyTruncated),
+    let room = context.body_budget.open_room(BodyKind::Caller);
+    match timeout_at(deadline, body_reader::read_body(body, room, max_bytes)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong)) => Err(BadRequest::BodyTooLong),
+        Ok(Err(BodyError::NoRoom)) => Err(BadRequest::NoRoom),
+        Ok(Err(BodyError::Truncated)) => Err(BadRequest::BodyTruncated),
         Err(_) => Err(BadRequest::BodyTimeout),
     }
 }
--- /dev/null
+++ b/crates/cowslipcross/tests/instance/body_memory.rs
@@ -0,0 +1,98 @@
+//! Tests of the memory that bodies take.
+
+use {
+    crate::deployment::{Deployment, lookup_request, request},
+    bytes::Bytes,
+    cowslip_adapter_standins::{
+        config::build_config,
+        scripted_target::{ReceivedRequest, ScriptedReply, ScriptedTarget},
+    },
+    futures_util::future::join_all,
+    http::StatusCode,
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+const PROCESSING_TIME: Duration = Duration::from_millis(20);
+/// Bound on the memory of an instance of 260 MB, whatever targets and callers send.
+const MAX_MEMORY_BYTES: u64 = 200_000_000;
+/// Length of a long body, and requests that have one; short requests beside them.
+const LONG_BODY_BYTES: usize = 16_000_000;
+const LONG_REQUESTS: usize = 12;
+const SHORT_REQUESTS: usize = 20;
+/// Time in which an instance reads the reports of targets.
+const READ_TIME: Duration = Duration::from_millis(1500);
+
+/// Starts an instance whose only target of the unsharded service replies with `reply`.
+async fn start_with_crew<F>(reply: F) -> (Deployment, ScriptedTarget)
+where
+    F: Fn(&ReceivedRequest) -> ScriptedReply + Send + Sync + 'static,
+{
+    let deployment = Deployment::start(1, 1, 2, PROCESSING_TIME).await;
+    let long_bodies = r#""MaxBodyBytes":67108864"#;
+    let config = build_config("r9", "boards").replace(r#""MaxBodyBytes":2000"#, long_bodies);
+    assert!(config.contains(long_bodies));
+    deployment.store.put("op", "config", config.as_bytes());
+    let target = ScriptedTarget::start(reply).await;
+    for crew in &deployment.crews {
+        crew.remove_report(&deployment.store);
+    }
+    target.publish_report(&deployment.store, "scripted", "crews");
+    sleep(READ_TIME).await;
+    (deployment, target)
+}
+
+/// Guards against long requests that take more memory than an instance has; the others are refused at once and
+/// told when to come back, and short ones go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_requests_do_not_exhaust_the_memory() {
+    let executed = Arc::new(Mutex::new(BTreeSet::new()));
+    let seen = executed.clone();
+    let (deployment, _target) = start_with_crew(move |request| {
+        seen.lock().expect("a set").insert(request.id.clone());
+        request.answer().into()
+    })
+    .await;
+    let instance = &deployment.instances[0];
+    let body = Bytes::from(vec![b'x'; LONG_BODY_BYTES]);
+    let sends = (0..LONG_REQUESTS).map(|number| {
+        let id = format!("long{number}");
+        instance.send(request("PUT", "/book/x", &id, "7", body.clone()))
+    });
+    let short = async {
+        for number in 0..SHORT_REQUESTS {
+            let id = format!("short{number}");
+            let response = instance.send(lookup_request(&id, 7)).await;
+            assert_eq!(response.expect("a response").status, StatusCode::OK);
+            sleep(PROCESSING_TIME).await;
+        }
+    };
+    let (responses, ()) = tokio::join!(join_all(sends), short);
+    let mut answered = 0;
+    for (number, response) in responses.into_iter().enumerate() {
+        let id = format!("long{number}");
+        let is_executed = executed.lock().expect("a set").contains(&id);
+        // A caller that goes on sending may miss the refusal when the connection is closed.
+        let Some(response) = response else {
+            assert!(!is_executed, "{id}");
+            continue;
+        };
+        match response.status {
+            StatusCode::OK => answered += 1,
+            // The body was not complete in time.
+            StatusCode::REQUEST_TIMEOUT => assert!(!is_executed, "{id}"),
+            status => {
+                assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+                assert!(response.headers.contains_key("retry-after"));
+                assert!(!is_executed, "{id}");
+            }
+        }
+    }
+    assert!(answered > 0);
+    let peak = instance.peak_memory();
+    assert!(peak < MAX_MEMORY_BYTES, "{peak} bytes");
+}
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests of instances that run as processes on loopback.
 
+mod body_memory;
 mod crashing_requests;
 mod cut_off;
 mod cut_responses;
