--- a/crates/cowslipcross/tests/instance/cut_responses.rs
+++ b/crates/cowslipcross/tests/instance/cut_responses.rs
@@ -1,7 +1,7 @@
 //! Tests of targets that stop in the middle of a response and close or reset the connection.
 
 use {
-    crate::deployment::{Deployment, lookup_request, removal_request, wait_until},
+    crate::deployment::{Deployment, lookup_request, removal_request},
     cowslip_adapter_standins::scripted_target::{
         ConnectionEnd, ReceivedRequest, ScriptedReply, ScriptedTarget,
     },
@@ -12,7 +12,6 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::time::sleep,
 };
 
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
@@ -81,11 +80,7 @@
         reply(request, is_first, end)
     })
     .await;
-    target.publish_report(&deployment.store, "cutter", "boards");
-    deployment.boards[0].publish_report(&deployment.store, "draining");
-    wait_until(|| async { target.grant_count() > 0 && deployment.owner_count(7) == 0 }).await;
-    // Long enough for the instance to know the new owner of all keys.
-    sleep(Duration::from_millis(1500)).await;
+    deployment.hand_over_boards(&target).await;
     for number in 0..UNTROUBLED {
         let response = deployment.instances[0].send(lookup_request(&format!("w{number}"), 7));
         assert_eq!(response.await.expect("a response").status, StatusCode::OK);
--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -6,6 +6,7 @@
         config::build_config,
         link::{Link, LinkState},
         ports,
+        scripted_target::ScriptedTarget,
         store::FakeStore,
         store_view::StoreView,
         target::{FakeTarget, TargetOptions},
@@ -281,6 +282,22 @@
         deployment
     }
 
+    /// Gives all keys of the sharded service to a scripted target, and waits until the instances know that.
+    pub async fn hand_over_boards(&self, target: &ScriptedTarget) {
+        target.publish_report(&self.store, "scripted", "boards");
+        for board in &self.boards {
+            board.publish_report(&self.store, "draining");
+        }
+        let is_over = || {
+            (0..=65_535)
+                .step_by(997)
+                .all(|key| self.owner_count(key) == 0)
+        };
+        wait_until(|| async { target.grant_count() > 0 && is_over() }).await;
+        // The instances learn of new owners by heartbeats, or read them from the store.
+        sleep(Duration::from_millis(1500)).await;
+    }
+
     /// Waits until every instance is ready and every sampled key has exactly one owner.
     pub async fn wait_until_ready(&self) {
         for instance in &self.instances {
--- a/crates/cowslipcross/tests/instance/late_copies.rs
+++ b/crates/cowslipcross/tests/instance/late_copies.rs
@@ -1,7 +1,7 @@
 //! Tests of targets that send an earlier answer once more, where the answer to the next request is expected.
 
 use {
-    crate::deployment::{Deployment, lookup_request, removal_request, wait_until},
+    crate::deployment::{Deployment, lookup_request, removal_request},
     bytes::Bytes,
     cowslip_adapter_standins::scripted_target::{ReceivedRequest, ScriptedReply, ScriptedTarget},
     http::StatusCode,
@@ -11,7 +11,6 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::time::sleep,
 };
 
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
@@ -80,11 +79,7 @@
         repeater.reply(request, first_answer)
     })
     .await;
-    target.publish_report(&deployment.store, "repeater", "boards");
-    deployment.boards[0].publish_report(&deployment.store, "draining");
-    wait_until(|| async { target.grant_count() > 0 && deployment.owner_count(7) == 0 }).await;
-    // Long enough for the instance to know the new owner of all keys.
-    sleep(Duration::from_millis(1500)).await;
+    deployment.hand_over_boards(&target).await;
     (deployment, target, repeater)
 }
 
--- a/crates/cowslipcross/tests/instance/odd_reports.rs
+++ b/crates/cowslipcross/tests/instance/odd_reports.rs
@@ -98,12 +98,7 @@
     }
     // Targets that come and go later are still followed.
     let target = ScriptedTarget::start(|request| request.answer().into()).await;
-    target.publish_report(&deployment.store, "later", "boards");
-    wait_until(|| async { target.grant_count() > 0 }).await;
-    for board in &deployment.boards {
-        board.publish_report(&deployment.store, "draining");
-    }
-    wait_until(|| async { deployment.owner_count(7) == 0 }).await;
+    deployment.hand_over_boards(&target).await;
     wait_until(|| async {
         let response = deployment.instances[1]
             .send(lookup_request("later", 7))
