fix(serve): a stopping instance takes late requests only if they certainly end before it exits

What callers saw: in a planned stop of one instance, requests whose head (on a new connection) or body became whole late in the grace period were taken and sent to a target, and cut without an answer when the process exited 250 ms before the end of the grace period; non-idempotent ones among them may have run (LOST). A request whose body was still incomplete then was cut, too.

Cause: after the signal only connections were looked at. Connections without a request were closed 2.6 s after it; on all others a request was read until its own deadline, and then handled as at any other time.

Evidence: the three new tests of the instance suite fail before ("no response", one with a run of the removal at the target) and pass now. Ruled out: a request that is whole on a kept connection during the drain, as each response since the signal closes its connection.

Change: `decide::shutdown` keeps the course of a shutdown and decides which requests are still taken: all for 2.6 s, as long as the platform may still route callers here; then those whose deadline lies before the exit, which are answered whatever the target does. All others are refused with 503, `Retry-After` and `Connection: close`, and have not run. A body that is incomplete when its request would not be taken any more is refused then, and the rest of it is read and dropped so that the caller, who still sends, gets the response.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -27,6 +27,7 @@
         reach::Reach,
         relays::Relays,
         restarts::Restarts,
+        shutdown::Shutdown,
         traffic_split::TrafficSplitter,
     },
     cowslip_settings::process::{ProcessSettings, bounds::Bounds},
@@ -40,7 +41,7 @@
     },
     tokio::{
         net::UdpSocket,
-        sync::{Mutex, Notify},
+        sync::{Mutex, Notify, watch},
         time::Instant,
     },
 };
@@ -221,8 +222,8 @@
     pub refresh_requested: Notify,
     /// Notified when the leader loop has something to do before its next interval.
     pub leader_work: Notify,
-    /// When the stop signal arrived.
-    pub stopping_since: Cell<Option<Instant>>,
+    /// Course of the shutdown; `None` before the stop signal.
+    pub shutdown: watch::Sender<Option<Shutdown>>,
     /// Requests in progress.
     pub active_requests: Cell<u32>,
 }
@@ -300,7 +301,7 @@
             routing_changed: Notify::new(),
             refresh_requested: Notify::new(),
             leader_work: Notify::new(),
-            stopping_since: Cell::new(None),
+            shutdown: watch::Sender::new(None),
             active_requests: Cell::new(0),
             settings,
         })
@@ -455,7 +456,17 @@
         let all_recorded = self.recorded_assignments.borrow();
         let mut sharded = config.services.iter().filter(|(_, it)| it.sharded);
         let has_owners = sharded.all(|(name, _)| all_recorded.contains_key(name));
-        has_owners && self.targets.borrow().is_known() && self.stopping_since.get().is_none()
+        has_owners && self.targets.borrow().is_known() && !self.is_stopping()
+    }
+
+    /// Returns the course of the shutdown; `None` before the stop signal.
+    pub fn shutdown(&self) -> Option<Shutdown> {
+        *self.shutdown.borrow()
+    }
+
+    /// Returns whether the stop signal has arrived.
+    pub fn is_stopping(&self) -> bool {
+        self.shutdown().is_some()
     }
 
     fn retry_budget(&self) -> RetryBudget {
--- a/crates/cowslipcross/src/lead/election_loop.rs
+++ b/crates/cowslipcross/src/lead/election_loop.rs
@@ -101,7 +101,7 @@
             .next_action(clock::local_time(), claim_delay);
         let is_search_due =
             !was_leader && reads.is_due(&context) && is_search_due(&context, &reads);
-        let can_claim = paused_until <= Instant::now() && context.stopping_since.get().is_none();
+        let can_claim = paused_until <= Instant::now() && !context.is_stopping();
         match action {
             ElectionAction::Write { version } if can_claim => write_row(&context, version).await,
             ElectionAction::Read if reads.is_due(&context) => {
--- a/crates/cowslipcross/src/serve.rs
+++ b/crates/cowslipcross/src/serve.rs
@@ -9,6 +9,7 @@
 pub mod exchange;
 pub mod fingerprints;
 pub mod forward;
+pub mod late_requests;
 pub mod organisations;
 pub mod permits;
 pub mod quiet_targets;
--- a/crates/cowslipcross/src/serve/caller_response.rs
+++ b/crates/cowslipcross/src/serve/caller_response.rs
@@ -26,6 +26,9 @@
 /// Time after which a caller should come back whose body had no room; most bodies are held for less.
 const NO_ROOM_WAIT: Duration = Duration::from_millis(500);
 
+/// Time after which a caller of an instance that stops should come back: other instances serve it.
+const STOPPING_WAIT: Duration = Duration::from_millis(100);
+
 /// A refusal: the request has not run and will not run.
 #[derive(Clone, Debug)]
 pub struct Refusal {
@@ -89,6 +92,7 @@
     let wait = match bad {
         BadRequest::NoConfig => Some(NO_CONFIG_WAIT),
         BadRequest::NoRoom => Some(NO_ROOM_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER))),
+        BadRequest::Stopping => Some(STOPPING_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER))),
         BadRequest::OverAllotment(wait) => {
             Some(wait.mul_f64(rand::random_range(RETRY_AFTER_JITTER)))
         }
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -105,7 +105,7 @@
             },
         },
     };
-    if context.stopping_since.get().is_some() {
+    if context.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -121,7 +121,7 @@
     headers: &HeaderMap,
     relay: RelayRequest,
 ) -> Result<Recipient, RelayReply> {
-    if context.stopping_since.get().is_some() || context.reach.borrow().is_lost() {
+    if context.is_stopping() || context.reach.borrow().is_lost() {
         return Err(RelayReply::CutOff);
     }
     let id = headers::get_str(headers, &headers::REQUIRED_TARGET).ok_or(RelayReply::Denied)?;
--- a/crates/cowslipcross/src/serve/request.rs
+++ b/crates/cowslipcross/src/serve/request.rs
@@ -6,7 +6,7 @@
         serve::{
             exchange::TargetRequest,
             fingerprints::{Fingerprints, RequestContent},
-            organisations,
+            late_requests, organisations,
         },
     },
     bytes::Bytes,
@@ -88,6 +88,8 @@
     BodyTooLong,
     /// There is no memory for the body now.
     NoRoom,
+    /// The request became complete, or is still incomplete, too late before this instance exits.
+    Stopping,
     /// The connection failed before the end of the body.
     BodyTruncated,
     /// The body was incomplete at the deadline.
@@ -98,7 +100,7 @@
     /// Returns the status code of the response.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::NoRoom | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverAllotment(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -122,6 +124,7 @@
             Self::InvalidDeadline => "deadline is no number of milliseconds",
             Self::BodyTooLong => "body too long",
             Self::NoRoom => "no memory for the body now",
+            Self::Stopping => "instance stops",
             Self::BodyTruncated => "body ended early",
             Self::BodyTimeout => "body not whole in time",
         }
@@ -131,7 +134,8 @@
 /// Reads the whole request of a caller with this address, finds its route and chooses its service.
 ///
 /// # Errors
-/// Fails if the request is not valid, matches no route, or is not complete by its deadline.
+/// Fails if the request is not valid, matches no route, or is not complete by its deadline or in time before this
+/// instance exits.
 pub async fn read_request(
     context: &Context,
     parts: Parts,
@@ -235,12 +239,23 @@
 
 async fn read_body(
     context: &Context,
-    body: Incoming,
+    mut body: Incoming,
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, BadRequest> {
     let room = context.body_budget.open_room(BodyKind::Caller);
-    match timeout_at(deadline, body_reader::read_body(body, room, max_bytes)).await {
+    let read = timeout_at(deadline, body_reader::read_body(&mut body, room, max_bytes));
+    let read = tokio::select! {
+        // A body that is complete already counts, however late it is looked at.
+        biased;
+        read = read => read,
+        () = late_requests::wait_until_refused(context, deadline) => {
+            late_requests::discard(body);
+            return Err(BadRequest::Stopping);
+        }
+    };
+    match read {
+        Ok(Ok(_)) if !late_requests::is_taken(context, deadline) => Err(BadRequest::Stopping),
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLong)) => Err(BadRequest::BodyTooLong),
         Ok(Err(BodyError::NoRoom)) => Err(BadRequest::NoRoom),
--- a/crates/cowslipcross/src/serve/server.rs
+++ b/crates/cowslipcross/src/serve/server.rs
@@ -154,7 +154,7 @@
         Ok(request) => forward(&context, Rc::new(request)).await,
         Err(bad) => reject(&context, &bad, id),
     };
-    if context.stopping_since.get().is_some() {
+    if context.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/cowslipcross/src/status.rs
+++ b/crates/cowslipcross/src/status.rs
@@ -65,7 +65,7 @@
             name: context.settings.name.clone(),
             data_centre: context.settings.data_centre.clone(),
             ready: context.is_ready(),
-            stopping: context.stopping_since.get().is_some(),
+            stopping: context.is_stopping(),
             leads: context.is_leader(),
             leader: context.leader_address.get(),
             instances: context.instance_count.get(),
--- a/crates/cowslipcross/src/stop.rs
+++ b/crates/cowslipcross/src/stop.rs
@@ -7,6 +7,7 @@
         lead::row_writer,
         serve::server::CallerConnections,
     },
+    cowslip_decide::shutdown::Shutdown,
     std::time::Duration,
     tokio::{
         signal::unix::Signal,
@@ -15,11 +16,6 @@
     },
 };
 
-/// Time for which connections are accepted after the signal: the platform takes up to two seconds
-/// to notice that the instance is not ready; the rest is a margin.
-const ACCEPT_DURATION: Duration = Duration::from_millis(2600);
-/// The process exits this long before the end of the grace period, at which it would be killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(250);
 /// Interval of the checks for open connections and requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -32,18 +28,17 @@
     accept_task: JoinHandle<()>,
 ) {
     signal.recv().await;
-    let started = Instant::now();
-    let deadline = started + context.bounds.borrow().grace.saturating_sub(EXIT_MARGIN);
-    context.stopping_since.set(Some(started));
+    let shutdown = Shutdown::begin(Instant::now(), context.bounds.borrow().grace);
+    context.shutdown.send_replace(Some(shutdown));
     context
         .events
         .record(events::SHUTDOWN_STARTED, EventFields::default());
     row_writer::resign(context).await;
-    sleep_until(deadline.min(started + ACCEPT_DURATION)).await;
+    sleep_until(shutdown.accept_until()).await;
     accept_task.abort();
     connections.close_idle();
     // A request can outlive its caller's connection, as non-idempotent ones run to their end.
-    while Instant::now() < deadline
+    while Instant::now() < shutdown.exit_at()
         && (connections.open_count() > 0 || context.active_requests.get() > 0)
     {
         sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -13,4 +13,5 @@
 mod organisations;
 mod requests;
 mod restoration;
+mod shutdown;
 mod store_clock;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod relays;
 pub mod restarts;
 pub mod service_time;
+pub mod shutdown;
 pub mod spill;
 pub mod traffic_split;
 pub mod unsettled;
