fix(serve): a connection on which a request's head is arriving is not closed as idle

What callers saw: 2.6 s after the stop signal, a caller that had sent part of a request's head on a connection in use was cut in the middle of it and got no answer.

Cause: hyper's graceful shutdown counts a connection as idle until a whole head has been read.

Change: the stream of a caller's connection tells whether anything was read since the last response. Such a connection is closed after the response to the request that is arriving, which is refused if it is too late. The connection is also polled before it is closed, so that a request that has arrived is read.

--- a/crates/cowslipcross/src/serve.rs
+++ b/crates/cowslipcross/src/serve.rs
@@ -3,6 +3,7 @@
 mod attempt;
 pub mod blocked_keys;
 pub mod caller_response;
+mod caller_stream;
 pub mod coordinator;
 pub mod counter_guard;
 pub mod crashing_requests;
--- a/crates/cowslipcross/src/serve/server.rs
+++ b/crates/cowslipcross/src/serve/server.rs
@@ -6,6 +6,7 @@
         events::{self, EventFields},
         serve::{
             caller_response::{self, RequestOutcome, ResponseBody},
+            caller_stream::{CallerStream, SharedUsage, Usage},
             counter_guard::CounterGuard,
             forward::forward_request,
             organisations,
@@ -24,7 +25,6 @@
         net::IpAddr,
         pin::pin,
         rc::Rc,
-        task::Poll,
         time::Duration,
     },
     tokio::{
@@ -65,7 +65,7 @@
         self.0.open_count.get()
     }
 
-    /// Closes each connection as soon as it has no request in progress.
+    /// Closes each connection as soon as it has no request in progress, and none that is arriving.
     pub fn close_idle(&self) {
         self.0.close_signal.borrow().send_replace(true);
     }
@@ -110,28 +110,38 @@
     let config = context.config.borrow().clone();
     let limits = config.map(|it| it.limits.clone()).unwrap_or_default();
     let caller = stream.peer_addr().ok().map(|it| it.ip());
+    let usage = SharedUsage::default();
     let service = service_fn(|request| {
-        let context = context.clone();
-        async move { Ok::<_, Infallible>(handle_request(context, request, caller).await) }
+        let (context, usage) = (context.clone(), usage.clone());
+        usage.set(Usage::HandlesRequest);
+        async move {
+            let response = handle_request(context, request, caller).await;
+            usage.set(Usage::Idle);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(CallerStream::new(stream, usage.clone())),
+            service,
+        );
     let mut connection = pin!(connection);
     let mut close_requested = pin!(close_receiver.wait_for(|close| *close));
-    let mut is_closing = false;
+    let (mut is_requested, mut is_closing) = (false, false);
     // An error of the connection needs no handling beyond the count of open connections.
     let _ = poll_fn(|task| {
-        if !is_closing && close_requested.as_mut().poll(task).is_ready() {
-            is_closing = true;
-            connection.as_mut().graceful_shutdown();
-        }
-        match connection.as_mut().poll(task) {
-            Poll::Ready(end) => Poll::Ready(end),
-            Poll::Pending => Poll::Pending,
+        let end = connection.as_mut().poll(task);
+        is_requested = is_requested || close_requested.as_mut().poll(task).is_ready();
+        // Between two requests, even one that is arriving would be cut.
+        if end.is_ready() || is_closing || !is_requested || usage.get() == Usage::ReadsHead {
+            return end;
         }
+        is_closing = true;
+        connection.as_mut().graceful_shutdown();
+        connection.as_mut().poll(task)
     })
     .await;
     open_connections
--- a/crates/cowslipcross/tests/instance/shutdown.rs
+++ b/crates/cowslipcross/tests/instance/shutdown.rs
@@ -154,6 +154,25 @@
     assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
 }
 
+/// Guards against connections that are closed as idle while the head of their next request arrives.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_that_arrives_in_pieces_on_a_connection_in_use_is_answered() {
+    let mut deployment = start(4, Duration::from_millis(50)).await;
+    let mut caller = SlowCaller::connect(deployment.instances[0].callers).await;
+    caller.send(&head_of_removal("before").concat()).await;
+    caller.send("strip it").await;
+    let response = caller.receive().await.expect("a response");
+    assert_eq!(response.status, StatusCode::OK);
+    deployment.instances[0].signal("TERM");
+    sleep(EARLY).await;
+    let [first, rest] = head_of_removal("kept");
+    caller.send(&first).await;
+    sleep(LATE - EARLY).await;
+    caller.send(&(rest + "strip it")).await;
+    assert_refused(&deployment, "kept", caller.receive().await);
+    assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
+}
+
 /// A request that certainly ends before the exit is served, however late it becomes whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_request_whose_deadline_lies_before_the_exit_is_served() {
