fix(serve): requests that wait for a target are refused before a stopping instance exits

What callers saw: requests that an instance had taken around the stop signal, and that waited for a target until the instance exited, were cut without an answer although they had not run; others were sent to a target so late that they were cut while it ran them.

Cause: a request waits until its own deadline, for which the grace period leaves no room if that is late.

Change: a request is sent only if the target is expected to answer before the exit: within the route's latency goal. One whose deadline lies before the exit is always sent, as it is answered at its deadline. All others are refused with 503, reason `stopping`, as soon as that is known, or get 502 if an earlier attempt may have run.

--- a/crates/cowslipcross/src/serve/caller_response.rs
+++ b/crates/cowslipcross/src/serve/caller_response.rs
@@ -27,7 +27,7 @@
 const NO_ROOM_WAIT: Duration = Duration::from_millis(500);
 
 /// Time after which a caller of an instance that stops should come back: other instances serve it.
-const STOPPING_WAIT: Duration = Duration::from_millis(100);
+pub const STOPPING_WAIT: Duration = Duration::from_millis(100);
 
 /// A refusal: the request has not run and will not run.
 #[derive(Clone, Debug)]
--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -6,9 +6,10 @@
         events,
         serve::{
             attempt,
-            caller_response::{Refusal, RequestOutcome},
+            caller_response::{Refusal, RequestOutcome, STOPPING_WAIT},
             crashing_requests,
             exchange::ExchangeOutcome,
+            late_requests,
             permits::{self, Permit, PermitResult},
             request::CallerRequest,
             request_events,
@@ -46,8 +47,8 @@
         if Instant::now() >= request.deadline {
             return error_outcome(history.final_error(Reason::Deadline));
         }
-        if let Some(wait) = crashing_requests::remaining_block(&context, &request) {
-            return blocked_outcome(&history, wait);
+        if let Some((reason, wait)) = find_ban(&context, &request) {
+            return ban_outcome(&history, reason, wait);
         }
         let step = match select_target(&context, &request) {
             Selection::Refuse(wait) => return overload_outcome(&history, wait),
@@ -99,7 +100,7 @@
     {
         return Step::Finish(overload_outcome(history, wait));
     }
-    send_unless_blocked(context, request, history, (connections, target), permit).await
+    send_unless_banned(context, request, history, (connections, target), permit).await
 }
 
 /// Sends a request to a target of an unsharded service, without a permit if no coordinator answers.
@@ -132,19 +133,27 @@
                 }
             }
         };
-    send_unless_blocked(context, request, history, (connections, &target), permit).await
+    send_unless_banned(context, request, history, (connections, &target), permit).await
 }
 
-/// Sends a request to a target, unless targets have ended under such requests while this one waited
-/// for the permit.
-async fn send_unless_blocked(
+/// Returns why a request must not be sent any more, and the time after which its caller should come back.
+fn find_ban(context: &Context, request: &CallerRequest) -> Option<(Reason, Duration)> {
+    if let Some(wait) = crashing_requests::remaining_block(context, request) {
+        return Some((Reason::CrashesTargets, wait));
+    }
+    let is_too_late = Instant::now() >= late_requests::send_until(context, request);
+    is_too_late.then_some((Reason::Stopping, STOPPING_WAIT))
+}
+
+/// Sends a request to a target, unless it must not be sent any more since it has waited for the permit.
+async fn send_unless_banned(
     context: &Rc<Context>,
     request: &Rc<CallerRequest>,
     history: &mut AttemptHistory,
     (connections, target): (Rc<TargetConnections>, &Name),
     permit: Option<Permit>,
 ) -> Step {
-    if crashing_requests::remaining_block(context, request).is_some() {
+    if find_ban(context, request).is_some() {
         return Step::SelectAfter(Duration::ZERO);
     }
     let outcome = attempt::run_attempt(context, request, connections, target, permit).await;
@@ -287,9 +296,9 @@
     }
 }
 
-/// Returns the outcome of a request that must not be sent because it crashes targets.
-fn blocked_outcome(history: &AttemptHistory, wait: Duration) -> RequestOutcome {
-    match history.blocked_error() {
+/// Returns the outcome of a request that must not be sent any more.
+fn ban_outcome(history: &AttemptHistory, reason: Reason, wait: Duration) -> RequestOutcome {
+    match history.ban_error(reason) {
         FinalError::Refused(reason) => RequestOutcome::Refused(Refusal { reason, wait }),
         other => error_outcome(other),
     }
--- a/crates/cowslipcross/src/serve/late_requests.rs
+++ b/crates/cowslipcross/src/serve/late_requests.rs
@@ -1,7 +1,7 @@
-//! Requests that become complete while the instance stops.
+//! Requests that become complete, or still wait for a target, while the instance stops.
 
 use {
-    crate::context::Context,
+    crate::{context::Context, serve::request::CallerRequest},
     http_body_util::BodyExt,
     hyper::body::Incoming,
     tokio::{
@@ -27,6 +27,14 @@
     }
 }
 
+/// Returns until when a request may be sent to a target.
+pub fn send_until(context: &Context, request: &CallerRequest) -> Instant {
+    let shutdown = context.shutdown();
+    shutdown.map_or(request.deadline, |it| {
+        it.send_until(request.deadline, request.route.latency_goal)
+    })
+}
+
 /// Reads the rest of a body and drops it. A caller that is still sending would lose the response if the connection
 /// were closed.
 pub fn discard(mut body: Incoming) {
--- a/crates/cowslipcross/src/serve/permits.rs
+++ b/crates/cowslipcross/src/serve/permits.rs
@@ -8,7 +8,7 @@
     crate::{
         context::Context,
         peers::{datagram, heartbeat_protocol, message::Message},
-        serve::{coordinator, organisations, request::CallerRequest},
+        serve::{coordinator, late_requests, organisations, request::CallerRequest},
         views::target_notices::TargetNotice,
     },
     cowslip_decide::{
@@ -77,7 +77,7 @@
     Acquired(Permit, Name),
     /// The request cannot be served in time; a retry may succeed after this time.
     Denied(Duration),
-    /// The routing data changed while the request was queued: select a target again.
+    /// The routing data changed while the request was queued, or it may not be sent any more: select a target again.
     RoutingChanged,
     /// No coordinator answers: send without a permit.
     Unanswered,
@@ -127,7 +127,8 @@
                 // For an unsharded service the coordinator chooses the target: changes of the
                 // routing data do not matter here.
                 let changed = context.routing_changed.notified();
-                let check_at = (Instant::now() + QUEUE_CHECK_INTERVAL).min(request.deadline);
+                let send_until = late_requests::send_until(context, request);
+                let check_at = (Instant::now() + QUEUE_CHECK_INTERVAL).min(send_until);
                 tokio::select! {
                     _ = timeout_at(check_at, pending.wait_for_reply()) => {}
                     () = changed, if target.is_some() => return PermitResult::RoutingChanged,
@@ -140,6 +141,9 @@
             Some(PermitReply::Granted(target)) => return PermitResult::Acquired(permit, target),
             Some(PermitReply::Refused(wait)) => return PermitResult::Denied(wait),
             _ if Instant::now() >= request.deadline => return PermitResult::Denied(Duration::ZERO),
+            _ if Instant::now() >= late_requests::send_until(context, request) => {
+                return PermitResult::RoutingChanged;
+            }
             _ if unanswered >= MAX_UNANSWERED => {
                 skip_coordinator(context, coordinator);
                 return PermitResult::Unanswered;
--- a/crates/cowslipcross/tests/instance/shutdown.rs
+++ b/crates/cowslipcross/tests/instance/shutdown.rs
@@ -1,9 +1,10 @@
 //! Tests of requests that become whole, or still wait, late in the grace period of an instance that stops.
 
 use {
-    crate::deployment::{Deployment, InstanceResponse, wait_until},
+    crate::deployment::{Deployment, InstanceResponse, removal_request, wait_until},
     bytes::Bytes,
     cowslip_adapter_standins::config::build_config,
+    futures_util::future::join_all,
     http::{HeaderMap, HeaderName, HeaderValue, StatusCode},
     std::{net::SocketAddr, time::Duration},
     tokio::{
@@ -173,6 +174,36 @@
     assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
 }
 
+/// Guards against requests that wait for a target until the process exits and get no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_for_a_target_are_answered_before_the_exit() {
+    let mut deployment = start(1, Duration::from_millis(500)).await;
+    let instance = &deployment.instances[0];
+    instance.signal("TERM");
+    sleep(EARLY).await;
+    let ids: Vec<String> = (0..30).map(|number| format!("waits{number}")).collect();
+    let sends = ids.iter().map(|id| {
+        let mut request = removal_request(id, 8);
+        let deadline = HeaderValue::from_static("9000");
+        request.headers_mut().insert("x-deadline-ms", deadline);
+        instance.send(request)
+    });
+    let responses = join_all(sends).await;
+    let mut served = 0;
+    for (id, response) in ids.iter().zip(responses) {
+        let response = response.unwrap_or_else(|| panic!("{id}: no response"));
+        let executions = match response.status {
+            StatusCode::OK => 1,
+            StatusCode::SERVICE_UNAVAILABLE => 0,
+            other => panic!("{id}: {other}"),
+        };
+        served += executions;
+        assert_eq!(deployment.count_executions(id), executions, "{id}");
+    }
+    assert!(served > 1, "{served} served");
+    assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
+}
+
 /// A request that certainly ends before the exit is served, however late it becomes whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_request_whose_deadline_lies_before_the_exit_is_served() {
--- a/crates/decide/src/attempts.rs
+++ b/crates/decide/src/attempts.rs
@@ -146,9 +146,10 @@
         }
     }
 
-    /// Returns the error for a request that must not be sent again because it crashes targets.
-    pub fn blocked_error(&self) -> FinalError {
-        self.not_run_error(Reason::CrashesTargets)
+    /// Returns the error for a request that must not be sent again for this reason, however long its caller would
+    /// wait.
+    pub fn ban_error(&self, reason: Reason) -> FinalError {
+        self.not_run_error(reason)
     }
 
     /// Excludes a target from further attempts without counting an attempt.
--- a/crates/decide/src/verdict.rs
+++ b/crates/decide/src/verdict.rs
@@ -47,6 +47,8 @@
     Broken,
     /// Targets have ended under such requests.
     CrashesTargets,
+    /// The instance exits before a target could answer.
+    Stopping,
 }
 
 impl Reason {
@@ -59,6 +61,7 @@
             Self::Shed => "shed",
             Self::Broken => "broken",
             Self::CrashesTargets => "crashes-targets",
+            Self::Stopping => "stopping",
         }
     }
 }
