fix(relay): a request of another instance that becomes complete during a stop is not passed on

A request that became complete late was sent to the target, and cut at the exit; the caller got 502 from the instance that had asked.

Evidence: `a_request_of_another_instance_that_becomes_whole_during_the_stop_is_not_passed_on` fails before ("1 passed-on west") and passes now: the instance that asks is told that nothing was sent, and asks another one.

--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -121,7 +121,7 @@
     headers: &HeaderMap,
     relay: RelayRequest,
 ) -> Result<Recipient, RelayReply> {
-    if context.is_stopping() || context.reach.borrow().is_lost() {
+    if passes_nothing_on(context) {
         return Err(RelayReply::CutOff);
     }
     let id = headers::get_str(headers, &headers::REQUIRED_TARGET).ok_or(RelayReply::Denied)?;
@@ -142,6 +142,11 @@
     })
 }
 
+/// Returns whether other instances have to be asked: this one stops, or reaches no targets.
+fn passes_nothing_on(context: &Context) -> bool {
+    context.is_stopping() || context.reach.borrow().is_lost()
+}
+
 async fn check(recipient: &Recipient) -> RelayReply {
     match recipient.connections.check().await {
         Ok(()) => RelayReply::TargetReached,
@@ -172,6 +177,10 @@
     let Ok(Ok(body)) = body else {
         return denied();
     };
+    // The body may have taken a while.
+    if passes_nothing_on(context) {
+        return Ok(reply_response(&RelayReply::CutOff));
+    }
     let path = parts.uri.path_and_query();
     let request = TargetRequest {
         id: &id,
--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -40,6 +40,8 @@
 pub struct Instance {
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Address for other instances.
+    pub peers: SocketAddr,
     readiness: SocketAddr,
     operators: SocketAddr,
     settings_file: PathBuf,
@@ -116,6 +118,7 @@
         let child = ports::spawn_process(&mut command).expect("the program starts");
         Self {
             callers,
+            peers: heartbeats,
             readiness,
             operators,
             settings_file,
--- a/crates/cowslipcross/tests/instance/shutdown.rs
+++ b/crates/cowslipcross/tests/instance/shutdown.rs
@@ -221,3 +221,22 @@
     assert_eq!(deployment.count_executions("short"), 1);
     assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
 }
+
+/// Guards against requests of other instances that become whole late, are passed on, and are cut at the exit.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_of_another_instance_that_becomes_whole_during_the_stop_is_not_passed_on() {
+    let mut deployment = start(4, PROCESSING_TIME).await;
+    let mut peer = SlowCaller::connect(deployment.instances[0].peers).await;
+    let [first, rest] = head_of_removal("passed");
+    let relay = "cowslipcross-relay: 1 once 1\r\nx-target-instance: b0\r\n";
+    peer.send(&format!("{first}{relay}{rest}")).await;
+    peer.send("strip").await;
+    sleep(Duration::from_millis(100)).await;
+    deployment.instances[0].signal("TERM");
+    sleep(Duration::from_secs(1)).await;
+    peer.send(" it").await;
+    let response = peer.receive().await.expect("a response");
+    assert_eq!(response.headers["cowslipcross-relay"], "1 cut-off");
+    assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
+    assert_eq!(deployment.count_executions("passed"), 0);
+}
