--- a/crates/cowslipcross/tests/instance/shutdown.rs
+++ b/crates/cowslipcross/tests/instance/shutdown.rs
@@ -17,9 +17,9 @@
 /// Time for which a target processes a request, longer than what is left of the grace period at [`LATE`].
 const PROCESSING_TIME: Duration = Duration::from_millis(1500);
 /// Time after the stop signal at which a request becomes whole; the grace period is 6 s.
-const LATE: Duration = Duration::from_millis(4900);
-/// Time after the stop signal at which the instance still accepts connections.
-const EARLY: Duration = Duration::from_millis(2300);
+const LATE: Duration = Duration::from_millis(4500);
+/// Time in which an instance reads what was sent to it.
+const READ_TIME: Duration = Duration::from_millis(100);
 /// Time after which a response counts as missing.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -80,27 +80,34 @@
 }
 
 /// Returns the two pieces of the head of a non-idempotent request with a body of 8 bytes.
-fn head_of_removal(id: &str) -> [String; 2] {
+fn head_of_removal(id: &str, timeout_ms: u32) -> [String; 2] {
     [
         "POST /remove/x HTTP/1.1\r\nhost: front.example\r\n".to_owned(),
         format!(
-            "x-request-id: {id}\r\nx-shard-key: 8\r\nx-deadline-ms: 5000\r\ncontent-length: 8\r\n\r\n"
+            "x-request-id: {id}\r\nx-shard-key: 8\r\nx-deadline-ms: {timeout_ms}\r\ncontent-length: 8\r\n\r\n"
         ),
     ]
 }
 
-/// Starts two instances, of which a test stops the first, with timeouts of 9 s on all routes, and one target of the
+/// Starts two instances, of which a test stops the first, with timeouts of 20 s on all routes, and one target of the
 /// sharded service.
 async fn start(slots: u32, processing_time: Duration) -> Deployment {
     let deployment = Deployment::start(2, 1, slots, processing_time).await;
-    let config = build_config("r9", "boards").replace("3000ms\",\"600ms", "9000ms\",\"600ms");
-    assert!(config.contains("9000ms"));
+    let config = build_config("r9", "boards").replace("3000ms\",\"600ms", "20000ms\",\"600ms");
+    assert!(config.contains("20000ms"));
     deployment.store.put("op", "config", config.as_bytes());
     let instance = &deployment.instances[0];
     wait_until(|| async { instance.metrics().await.contains("config_version 9") }).await;
     deployment
 }
 
+/// Sends a piece of a request, and stops the first instance once that has read it.
+async fn send_and_stop(deployment: &Deployment, caller: &mut SlowCaller, piece: &str) {
+    caller.send(piece).await;
+    sleep(READ_TIME).await;
+    deployment.instances[0].signal("TERM");
+}
+
 fn assert_refused(deployment: &Deployment, id: &str, response: Option<InstanceResponse>) {
     let response = response.unwrap_or_else(|| panic!("{id}: no response"));
     assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE, "{id}");
@@ -114,13 +121,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_that_becomes_whole_late_in_the_grace_period_is_refused_unrun() {
     let mut deployment = start(4, PROCESSING_TIME).await;
-    let address = deployment.instances[0].callers;
-    let mut caller = SlowCaller::connect(address).await;
-    deployment.instances[0].signal("TERM");
-    sleep(EARLY).await;
-    caller.send(&head_of_removal("body").concat()).await;
-    caller.send("strip").await;
-    sleep(LATE - EARLY).await;
+    let mut caller = SlowCaller::connect(deployment.instances[0].callers).await;
+    let head = head_of_removal("body", 20_000).concat();
+    send_and_stop(&deployment, &mut caller, &(head + "strip")).await;
+    sleep(LATE).await;
     caller.send(" it").await;
     assert_refused(&deployment, "body", caller.receive().await);
     assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
@@ -132,10 +136,8 @@
 async fn a_body_that_is_not_whole_in_time_is_refused_before_the_exit() {
     let mut deployment = start(4, PROCESSING_TIME).await;
     let mut caller = SlowCaller::connect(deployment.instances[0].callers).await;
-    deployment.instances[0].signal("TERM");
-    sleep(EARLY).await;
-    caller.send(&head_of_removal("part").concat()).await;
-    caller.send("strip").await;
+    let head = head_of_removal("part", 20_000).concat();
+    send_and_stop(&deployment, &mut caller, &(head + "strip")).await;
     assert_refused(&deployment, "part", caller.receive().await);
     assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
 }
@@ -145,11 +147,9 @@
 async fn a_head_that_becomes_whole_late_in_the_grace_period_is_refused_unrun() {
     let mut deployment = start(4, PROCESSING_TIME).await;
     let mut caller = SlowCaller::connect(deployment.instances[0].callers).await;
-    let [first, rest] = head_of_removal("head");
-    deployment.instances[0].signal("TERM");
-    sleep(EARLY).await;
-    caller.send(&first).await;
-    sleep(LATE - EARLY).await;
+    let [first, rest] = head_of_removal("head", 20_000);
+    send_and_stop(&deployment, &mut caller, &first).await;
+    sleep(LATE).await;
     caller.send(&(rest + "strip it")).await;
     assert_refused(&deployment, "head", caller.receive().await);
     assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
@@ -160,15 +160,13 @@
 async fn a_head_that_arrives_in_pieces_on_a_connection_in_use_is_answered() {
     let mut deployment = start(4, Duration::from_millis(50)).await;
     let mut caller = SlowCaller::connect(deployment.instances[0].callers).await;
-    caller.send(&head_of_removal("before").concat()).await;
-    caller.send("strip it").await;
+    let before = head_of_removal("before", 20_000).concat();
+    caller.send(&(before + "strip it")).await;
     let response = caller.receive().await.expect("a response");
     assert_eq!(response.status, StatusCode::OK);
-    deployment.instances[0].signal("TERM");
-    sleep(EARLY).await;
-    let [first, rest] = head_of_removal("kept");
-    caller.send(&first).await;
-    sleep(LATE - EARLY).await;
+    let [first, rest] = head_of_removal("kept", 20_000);
+    send_and_stop(&deployment, &mut caller, &first).await;
+    sleep(LATE).await;
     caller.send(&(rest + "strip it")).await;
     assert_refused(&deployment, "kept", caller.receive().await);
     assert_eq!(deployment.instances[0].wait_for_exit().await, Some(0));
@@ -179,16 +177,18 @@
 async fn requests_that_wait_for_a_target_are_answered_before_the_exit() {
     let mut deployment = start(1, Duration::from_millis(500)).await;
     let instance = &deployment.instances[0];
-    instance.signal("TERM");
-    sleep(EARLY).await;
-    let ids: Vec<String> = (0..30).map(|number| format!("waits{number}")).collect();
+    let ids: Vec<String> = (0..40).map(|number| format!("waits{number}")).collect();
     let sends = ids.iter().map(|id| {
         let mut request = removal_request(id, 8);
-        let deadline = HeaderValue::from_static("9000");
+        let deadline = HeaderValue::from_static("20000");
         request.headers_mut().insert("x-deadline-ms", deadline);
         instance.send(request)
     });
-    let responses = join_all(sends).await;
+    let stop = async {
+        sleep(5 * READ_TIME).await;
+        instance.signal("TERM");
+    };
+    let (responses, ()) = tokio::join!(join_all(sends), stop);
     let mut served = 0;
     for (id, response) in ids.iter().zip(responses) {
         let response = response.unwrap_or_else(|| panic!("{id}: no response"));
@@ -209,13 +209,10 @@
 async fn a_late_request_whose_deadline_lies_before_the_exit_is_served() {
     let mut deployment = start(4, Duration::from_millis(50)).await;
     let mut caller = SlowCaller::connect(deployment.instances[0].callers).await;
-    deployment.instances[0].signal("TERM");
-    sleep(EARLY).await;
-    let head = head_of_removal("short").concat();
-    let head = head.replace("x-deadline-ms: 5000", "x-deadline-ms: 3000");
-    caller.send(&head).await;
-    sleep(Duration::from_millis(1200)).await;
-    caller.send("strip it").await;
+    let head = head_of_removal("short", 5000).concat();
+    send_and_stop(&deployment, &mut caller, &(head + "strip")).await;
+    sleep(Duration::from_millis(3500)).await;
+    caller.send(" it").await;
     let response = caller.receive().await.expect("a response");
     assert_eq!(response.status, StatusCode::OK);
     assert_eq!(deployment.count_executions("short"), 1);
@@ -227,13 +224,11 @@
 async fn a_request_of_another_instance_that_becomes_whole_during_the_stop_is_not_passed_on() {
     let mut deployment = start(4, PROCESSING_TIME).await;
     let mut peer = SlowCaller::connect(deployment.instances[0].peers).await;
-    let [first, rest] = head_of_removal("passed");
+    let [first, rest] = head_of_removal("passed", 20_000);
     let relay = "cowslipcross-relay: 1 once 1\r\nx-target-instance: b0\r\n";
-    peer.send(&format!("{first}{relay}{rest}")).await;
-    peer.send("strip").await;
-    sleep(Duration::from_millis(100)).await;
-    deployment.instances[0].signal("TERM");
-    sleep(Duration::from_secs(1)).await;
+    let request = format!("{first}{relay}{rest}strip");
+    send_and_stop(&deployment, &mut peer, &request).await;
+    sleep(10 * READ_TIME).await;
     peer.send(" it").await;
     let response = peer.receive().await.expect("a response");
     assert_eq!(response.headers["cowslipcross-relay"], "1 cut-off");
