fix(election): a free row is claimed however long the read of it took

Cause: a claim needed a timestamp of the store at most 100 ms old, counted from the sending of the read that brought it. If reads take longer, each one is too old when it arrives, and another follows.

What the age protects, and what a claim needs of it: - The lease counts from the sending of the call that brought the timestamp, on a clock that counts suspensions. Age shortens the lease and never lengthens it. A claim needs enough of it left: half of what a leader may use. - A row must not be older than the one it replaces, or the next reader takes the replaced leader's grants for over too early. A call that was sent after the row could be claimed brings a later timestamp, whatever it takes. An instance's own row is never later than its timestamps. - Of instances that find the row free at once most should learn that one has claimed it. The same call tells them. So a timestamp is good for a claim if its call was sent after the row could be claimed, or is at most 100 ms old as before, which keeps claims of a fast store as they were.

With `due` left out of the rule, `an_expired_row_is_claimed_after_the_delay_and_a_fresh_read` fails.

--- a/crates/decide/src/election.rs
+++ b/crates/decide/src/election.rs
@@ -21,8 +21,11 @@
 const LEASE_USABLE_RATIO: f64 = 0.9;
 /// The leader renews after the lease TTL divided by this number.
 const RENEWAL_DIVISOR: u32 = 4;
-/// Greatest age of the store timestamp in a claim; an older one requires a read first.
-const MAX_TIMESTAMP_AGE: Duration = Duration::from_millis(100);
+/// Greatest age of a store timestamp with which any free row is claimed.
+const RECENT_AGE: Duration = Duration::from_millis(100);
+/// Greatest age of a store timestamp in a claim, as part of the lease TTL: half of the time for which the leader
+/// may act, as the write that follows may take as long as the read that returned the timestamp.
+const CLAIM_AGE_RATIO: f64 = LEASE_USABLE_RATIO / 2.0;
 /// A write is expected to succeed while the renewal is late by no more than the lease TTL divided
 /// by this number.
 const LATENESS_DIVISOR: u32 = 10;
@@ -223,10 +226,12 @@
         if now.monotonic < due {
             return ElectionAction::Wait;
         }
-        // A lease counts from the store timestamp in the row. If a claim contained one older than
-        // the row it replaces, the next reader of the row would also assume that the previous
-        // leader's grants end earlier than they do.
-        match self.lease.is_none() && !self.has_fresh_timestamp(now) {
+        // The row of a lease that is kept, or lost a moment ago, is older than every later timestamp.
+        let known_free = match self.lease.is_some() || row.is_own || self.is_continuing {
+            true => None,
+            false => Some(due),
+        };
+        match self.lease.is_none() && !self.has_claim_timestamp(known_free, now) {
             true => ElectionAction::Read,
             false => ElectionAction::Write {
                 version: row.version,
@@ -247,16 +252,21 @@
             .map_or(known_long, |expiry| expiry.min(known_long))
     }
 
-    /// Returns whether the store timestamp is recent enough for a claim. It usually is only after
-    /// another read, by which most of the instances that find the row free at the same time learn
-    /// that one of them has claimed it.
-    fn has_fresh_timestamp(&self, now: LocalTime) -> bool {
-        let age = |timestamp: StoreTimestamp| {
-            now.monotonic
-                .saturating_duration_since(timestamp.sent_at.monotonic)
+    /// Returns whether a claim may contain the store timestamp; `due` is since when the row could be claimed, or
+    /// `None` if only this instance wrote it.
+    ///
+    /// The lease counts from the timestamp, so that an old one leaves less of it. If it were older than the row that
+    /// is replaced, the next reader of the row would assume that the previous leader's grants end earlier than they
+    /// do. A call that was sent after the row could be claimed returns a later one, however long it takes. By that
+    /// call most of the instances that find the row free at the same time also learn that one of them has claimed it.
+    fn has_claim_timestamp(&self, due: Option<Instant>, now: LocalTime) -> bool {
+        let Some(StoreTimestamp { sent_at, .. }) = self.store_timestamp else {
+            return false;
         };
-        self.store_timestamp
-            .is_some_and(|timestamp| age(timestamp) <= MAX_TIMESTAMP_AGE)
+        // The lease ends by this clock, which counts suspensions.
+        let age = now.since_boot.saturating_sub(sent_at.since_boot);
+        let is_sent_since = due.is_none_or(|due| sent_at.monotonic >= due);
+        age <= RECENT_AGE || is_sent_since && age <= self.lease_ttl.mul_f64(CLAIM_AGE_RATIO)
     }
 
     /// Applies the row as read from the store, with the store's time if the store returned it.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod allotments;
 pub mod attempts;
 pub mod body_budget;
+pub mod call_timeout;
 pub mod crashes;
 pub mod election;
 pub mod formats;
--- a/crates/decide/tests/election.rs
+++ b/crates/decide/tests/election.rs
@@ -1,8 +1,10 @@
 //! Leader election: at most one instance leads at a time, whatever the store and machines do.
 
+mod election_world;
 mod seeds;
 
 use {
+    crate::election_world::{DelayedWrite, Store, claim_delay},
     cowslip_decide::{
         election::{
             ClaimDelay, ElectionAction, LeaderElection, LeaderRow, LocalTime, StoreTimestamp,
@@ -10,7 +12,7 @@
         names::StoreVersion,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeMap, time::Duration},
+    std::time::Duration,
     tokio::time::Instant,
 };
 
@@ -28,34 +30,6 @@
     era: Option<u64>,
 }
 
-/// The store: the rows of each era, with the machine that wrote them.
-#[derive(Default)]
-struct Store {
-    era: u64,
-    rows: BTreeMap<u64, StoreRow>,
-    /// Number of the latest version; falls when the store is restored.
-    latest: u64,
-    /// Writes without an answer that are carried out later.
-    delayed: Vec<DelayedWrite>,
-}
-
-#[derive(Clone, Copy, Default)]
-struct StoreRow {
-    number: u64,
-    writer: Option<usize>,
-    lease_start: Option<Duration>,
-}
-
-/// A write with the tick at which it is carried out.
-#[derive(Clone, Copy)]
-struct DelayedWrite {
-    due: u32,
-    era: u64,
-    expected: StoreVersion,
-    writer: usize,
-    lease_start: Duration,
-}
-
 fn version(number: u64) -> StoreVersion {
     StoreVersion { era: 0, number }
 }
@@ -115,72 +89,6 @@
     }
 }
 
-impl Store {
-    /// Returns the row of the present era as `reader` reads it.
-    fn view(&self, reader: usize) -> LeaderRow {
-        let row = self.rows.get(&self.era).copied().unwrap_or_default();
-        LeaderRow {
-            version: match row.number {
-                0 => StoreVersion::NONE,
-                number => StoreVersion {
-                    era: self.era,
-                    number,
-                },
-            },
-            is_own: row.writer == Some(reader),
-            released: false,
-            lease_start: row.lease_start,
-        }
-    }
-
-    /// Writes the row of an era, as the late write of an earlier era does, too; returns its version.
-    fn write(
-        &mut self,
-        era: u64,
-        expected: StoreVersion,
-        writer: usize,
-        lease_start: Duration,
-    ) -> Option<StoreVersion> {
-        let row = self.rows.entry(era).or_default();
-        if row.number != expected.number {
-            return None;
-        }
-        self.latest += 1;
-        *row = StoreRow {
-            number: self.latest,
-            writer: Some(writer),
-            lease_start: Some(lease_start),
-        };
-        Some(StoreVersion {
-            era,
-            number: self.latest,
-        })
-    }
-
-    /// Restores a backup that lacks the last versions.
-    fn restore(&mut self, lost: u64) {
-        self.era += 1;
-        self.latest = self.latest.saturating_sub(lost);
-    }
-
-    fn carry_out_delayed(&mut self, tick: u32) {
-        let (due, remaining): (Vec<_>, Vec<_>) =
-            self.delayed.iter().copied().partition(|it| it.due <= tick);
-        self.delayed = remaining;
-        for late in due {
-            self.write(late.era, late.expected, late.writer, late.lease_start);
-        }
-    }
-}
-
-/// Returns the claim delay of an instance with so many preferred instances before it.
-fn claim_delay(position: u32) -> ClaimDelay {
-    ClaimDelay {
-        duration: position * Duration::from_millis(150),
-        includes_own: position > 1,
-    }
-}
-
 /// Simulates two minutes with store outages, lost responses, delayed writes, suspended machines and,
 /// with `restores`, restorations of the store; returns the number of ticks with a leader.
 fn simulate(seed: u64, restores: bool) -> u32 {
