--- a/crates/decide/tests/election.rs
+++ b/crates/decide/tests/election.rs
@@ -4,7 +4,7 @@
 mod seeds;
 
 use {
-    crate::election_world::{DelayedWrite, Store, claim_delay},
+    crate::election_world::{Store, claim_delay},
     cowslip_decide::{
         election::{
             ClaimDelay, ElectionAction, LeaderElection, LeaderRow, LocalTime, StoreTimestamp,
@@ -30,6 +30,23 @@
     era: Option<u64>,
 }
 
+/// A write with the tick at which it is carried out.
+#[derive(Clone, Copy)]
+struct DelayedWrite {
+    due: u32,
+    era: u64,
+    expected: StoreVersion,
+    writer: usize,
+    lease_start: Duration,
+}
+
+/// Carries out the delayed writes that are due.
+fn carry_out(delayed: &mut Vec<DelayedWrite>, store: &mut Store, tick: u32) {
+    for late in delayed.extract_if(.., |it| it.due <= tick) {
+        store.write(late.era, late.expected, late.writer, late.lease_start);
+    }
+}
+
 fn version(number: u64) -> StoreVersion {
     StoreVersion { era: 0, number }
 }
@@ -95,6 +112,8 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let start = Instant::now();
     let mut store = Store::default();
+    // Writes without an answer that are carried out later.
+    let mut delayed = Vec::new();
     let mut machines: Vec<Machine> = (0..4)
         .map(|position| Machine {
             election: LeaderElection::new(LEASE_TTL),
@@ -121,7 +140,7 @@
             outage_ticks = outage_ticks.max(rng.random_range(0..20));
         }
         (outage_ticks, loss_ticks) = (outage_ticks.saturating_sub(1), loss_ticks.saturating_sub(1));
-        store.carry_out_delayed(tick);
+        carry_out(&mut delayed, &mut store, tick);
         for (id, machine) in machines.iter_mut().enumerate() {
             machine.since_boot += TICK_LENGTH;
             if machine.suspended_ticks > 0 {
@@ -156,7 +175,7 @@
                         writer: id,
                         lease_start: written.store_time,
                     };
-                    store.delayed.push(late);
+                    delayed.push(late);
                 }
                 ElectionAction::Write { version } => {
                     machine.write(&mut store, version, id, tick);
--- a/crates/decide/tests/election_world/mod.rs
+++ b/crates/decide/tests/election_world/mod.rs
@@ -15,8 +15,6 @@
     pub rows: BTreeMap<u64, StoreRow>,
     /// Number of the latest version; falls when the store is restored.
     pub latest: u64,
-    /// Writes without an answer that are carried out later.
-    pub delayed: Vec<DelayedWrite>,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -26,16 +24,6 @@
     pub lease_start: Option<Duration>,
 }
 
-/// A write with the tick at which it is carried out.
-#[derive(Clone, Copy)]
-pub struct DelayedWrite {
-    pub due: u32,
-    pub era: u64,
-    pub expected: StoreVersion,
-    pub writer: usize,
-    pub lease_start: Duration,
-}
-
 impl Store {
     /// Returns the row of the present era as `reader` reads it.
     pub fn view(&self, reader: usize) -> LeaderRow {
@@ -83,15 +71,6 @@
         self.era += 1;
         self.latest = self.latest.saturating_sub(lost);
     }
-
-    pub fn carry_out_delayed(&mut self, tick: u32) {
-        let (due, remaining): (Vec<_>, Vec<_>) =
-            self.delayed.iter().copied().partition(|it| it.due <= tick);
-        self.delayed = remaining;
-        for late in due {
-            self.write(late.era, late.expected, late.writer, late.lease_start);
-        }
-    }
 }
 
 /// Returns the claim delay of an instance with so many preferred instances before it.
