fix(store): the timeout of calls follows the latencies seen, and a deferred claim is logged

What callers saw: with calls of the store of more than 450 ms no instance led, and with more than 500 ms no instance read the targets, although the store answered each call.

Cause: fixed timeouts of 450 and 500 ms took a slow store for one that does not answer.

Change: one timeout for calls of all tasks, twice the highest latency of the last calls, from 450 ms to 1.1 s (half of the usable lease). A call without an answer lets the next one take twice as long, so that a slow store is told apart from one that is away; a broken connection does not count. CC0623 tells, at most once a second, why an instance that would claim the free row of the leader does not.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -20,6 +20,7 @@
     cowslip_adapter::{config::Config, store::Store},
     cowslip_decide::{
         body_budget::BodyBudget,
+        call_timeout::CallTimeout,
         election::LeaderElection,
         limits::{RetryBudget, RetryWindow},
         names::{Incarnation, Name, StoreVersion},
@@ -120,6 +121,8 @@
     pub unknown_until: Cell<Option<Duration>>,
     /// Whether the store answered this instance's last call.
     pub store_reachable: Cell<bool>,
+    /// Timeout of calls to the store.
+    pub store_timeout: Cell<CallTimeout>,
     /// Notified when the store answers again.
     pub store_recovered: Notify,
     /// Serialises calls to the router's own table: writes, and reads that must not overlap them.
@@ -255,6 +258,7 @@
             restored_at: Cell::new(None),
             unknown_until: Cell::new(None),
             store_reachable: Cell::new(false),
+            store_timeout: Cell::default(),
             store_recovered: Notify::new(),
             write_lock: Mutex::new(()),
             config_confirmed: Cell::new(None),
--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -179,6 +179,9 @@
     622 STORE_TIME_UNKNOWN Error FREQUENT_RATE; "time of the store not known: {detail}";
         "A response of the store has no time of its clock that can be read. Without it no instance becomes or stays leader.";
         "Look at the store of the platform; without a leader, keys lose their owners within seconds.";
+    623 CLAIM_DEFERRED Warn Some(1); "leader's row not claimed: {detail}";
+        "The row has been free for a second and more, and this instance would claim it, but may not yet.";
+        "Nothing, if an instance reports `CC0608` within 15 s; otherwise look at the store's latency.";
     701 UNSERVED Info FREQUENT_RATE; "request {request} unserved: {detail}";
         "The router answered a caller in place of a target, with a verdict and a reason.";
         "See the page on unserved requests.";
--- a/crates/cowslipcross/src/lead/election_loop.rs
+++ b/crates/cowslipcross/src/lead/election_loop.rs
@@ -13,7 +13,7 @@
         peers::membership,
     },
     cowslip_decide::{
-        election::{ClaimDelay, ElectionAction},
+        election::{ClaimDelay, ClaimObstacle, ElectionAction},
         names::StoreVersion,
     },
     std::{rc::Rc, time::Duration},
@@ -55,6 +55,9 @@
 /// successor to read the free row and claim it.
 const CLAIM_PAUSE: Duration = Duration::from_millis(2500);
 
+/// Time for which a claim is deferred until that is told.
+const DEFERRAL_REPORT_TIME: Duration = Duration::from_secs(1);
+
 /// Schedule of the reads of the router's own table; the interval grows while they fail.
 struct ReadSchedule {
     last_read: Instant,
@@ -91,6 +94,7 @@
     };
     let (mut paused_until, mut last_resignation) = (started_at, None);
     let random_delay = MAX_RANDOM_DELAY.mul_f64(rand::random());
+    let mut deferred_since = None;
     reads.read(&context).await;
     loop {
         let was_leader = context.is_leader();
@@ -102,6 +106,9 @@
         let is_search_due =
             !was_leader && reads.is_due(&context) && is_search_due(&context, &reads);
         let can_claim = paused_until <= Instant::now() && !context.is_stopping();
+        if can_claim {
+            report_deferral(&context, claim_delay, &mut deferred_since);
+        }
         match action {
             ElectionAction::Write { version } if can_claim => write_row(&context, version).await,
             ElectionAction::Read if reads.is_due(&context) => {
@@ -137,6 +144,33 @@
     }
 }
 
+/// Records why this instance does not claim the free row, if that has lasted for a while.
+fn report_deferral(
+    context: &Context,
+    claim_delay: ClaimDelay,
+    deferred_since: &mut Option<Instant>,
+) {
+    let election = context.election.borrow();
+    let Some(obstacle) = election.deferral(clock::local_time(), claim_delay) else {
+        *deferred_since = None;
+        return;
+    };
+    let since = *deferred_since.get_or_insert_with(Instant::now);
+    if since.elapsed() < DEFERRAL_REPORT_TIME {
+        return;
+    }
+    let cause = match obstacle {
+        ClaimObstacle::NoTimestamp => "no time of the store known".to_owned(),
+        ClaimObstacle::OldTimestamp(age) => {
+            format!("the store's time was asked for {} ms ago", age.as_millis())
+        }
+    };
+    let deferred = since.elapsed().as_millis();
+    let timeout = context.store_timeout.get().get().as_millis();
+    let detail = format!("{cause}; for {deferred} ms; timeout of calls {timeout} ms");
+    context.record_event(events::CLAIM_DEFERRED, detail);
+}
+
 /// Claims or renews the row; a leader that continues after a restoration of the store also records
 /// its assignments again.
 async fn write_row(context: &Context, version: StoreVersion) {
--- a/crates/cowslipcross/src/lead/leader_row.rs
+++ b/crates/cowslipcross/src/lead/leader_row.rs
@@ -13,8 +13,6 @@
 
 /// Key of the leader's row.
 pub const ROW_KEY: &str = "leader";
-/// Timeout of a call to the store.
-pub const STORE_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Value of the leader's row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/cowslipcross/src/lead/restoration.rs
+++ b/crates/cowslipcross/src/lead/restoration.rs
@@ -42,11 +42,7 @@
             leader_row::check(&assignment_rows::row_key(service), StoreVersion::NONE)
         }),
     );
-    let commit =
-        context
-            .router_store
-            .commit(context.era(), &checks, &writes, leader_row::STORE_TIMEOUT);
-    let result = commit.await;
+    let result = row_writer::commit(context, &checks, &writes).await;
     drop(guard);
     context.metrics.count_store_call("record", result.is_ok());
     row_writer::apply_write_result(context, (timestamp, sent_at), &result);
--- a/crates/cowslipcross/src/lead/row_reader.rs
+++ b/crates/cowslipcross/src/lead/row_reader.rs
@@ -8,8 +8,9 @@
         lead::{
             assignment_rows::{self, OWNERS_PREFIX},
             command_sender,
-            leader_row::{LeaderRowValue, ROW_KEY, STORE_TIMEOUT},
+            leader_row::{LeaderRowValue, ROW_KEY},
         },
+        store_calls,
         views::store_era,
     },
     cowslip_adapter::{
@@ -28,10 +29,11 @@
 pub async fn refresh_router_table(context: &Context) -> bool {
     let _guard = context.write_lock.lock().await;
     let sent_at = clock::local_time();
-    let result = context
-        .router_store
-        .read_router_table(context.era(), STORE_TIMEOUT)
-        .await;
+    let store = &context.router_store;
+    let result = store_calls::timed(context, |timeout| {
+        store.read_router_table(context.era(), timeout)
+    })
+    .await;
     context.metrics.count_store_call("owners", result.is_ok());
     context.set_store_reachable(result.is_ok());
     let rows = match result {
--- a/crates/cowslipcross/src/lead/row_writer.rs
+++ b/crates/cowslipcross/src/lead/row_writer.rs
@@ -8,15 +8,17 @@
         events,
         lead::{
             assignment_rows::{self, AssignmentRowValue},
-            leader_row::{
-                ROW_KEY, STORE_TIMEOUT, check, new_row, own_grants_end, timestamp_to_write,
-            },
+            leader_row::{ROW_KEY, check, new_row, own_grants_end, timestamp_to_write},
             peer_reports,
             row_reader::{apply_leader_row, known_store_time, observe_restoration},
         },
         peers::{datagram, message::Message},
+        store_calls,
+    },
+    cowslip_adapter::{
+        Error,
+        store::{CommitOutcome, RowWrite, VersionCheck},
     },
-    cowslip_adapter::{Error, store::CommitOutcome},
     cowslip_decide::{
         election::{LocalTime, StoreTimestamp},
         names::{Name, StoreVersion},
@@ -41,6 +43,22 @@
     Unknown,
 }
 
+/// Writes rows of the present era if all checks hold, and none of them otherwise.
+///
+/// # Errors
+/// Fails like [`Store::commit`](cowslip_adapter::store::Store::commit).
+pub async fn commit(
+    context: &Context,
+    checks: &[VersionCheck],
+    writes: &[RowWrite],
+) -> cowslip_adapter::Result<CommitOutcome> {
+    let store = &context.router_store;
+    store_calls::timed(context, |timeout| {
+        store.commit(context.era(), checks, writes, timeout)
+    })
+    .await
+}
+
 /// Claims or renews the leader's row on the condition that it has this version.
 pub async fn claim_row(context: &Context, version: StoreVersion) {
     let guard = context.write_lock.lock().await;
@@ -50,10 +68,7 @@
     let timestamp = timestamp_to_write(context, sent_at);
     let checks = [check(ROW_KEY, version)];
     let writes = [new_row(context, timestamp, None)];
-    let result = context
-        .router_store
-        .commit(context.era(), &checks, &writes, STORE_TIMEOUT)
-        .await;
+    let result = commit(context, &checks, &writes).await;
     drop(guard);
     context.metrics.count_store_call("lease", result.is_ok());
     apply_write_result(context, (timestamp, sent_at), &result);
@@ -123,10 +138,7 @@
     let timestamp = timestamp_to_write(context, sent_at);
     let checks = [check(ROW_KEY, own_version), check(&key, previous_version)];
     writes.push(new_row(context, timestamp, None));
-    let result = context
-        .router_store
-        .commit(context.era(), &checks, &writes, STORE_TIMEOUT)
-        .await;
+    let result = commit(context, &checks, &writes).await;
     drop(guard);
     context.metrics.count_store_call("record", result.is_ok());
     apply_write_result(context, (timestamp, sent_at), &result);
@@ -187,10 +199,7 @@
     let checks = [check(ROW_KEY, version)];
     let timestamp = timestamp_to_write(context, clock::local_time());
     let writes = [new_row(context, timestamp, Some(own_grants_end(context)))];
-    let result = context
-        .router_store
-        .commit(context.era(), &checks, &writes, STORE_TIMEOUT)
-        .await;
+    let result = commit(context, &checks, &writes).await;
     drop(guard);
     let detail = match result {
         Ok(_) => reason.to_owned(),
--- a/crates/cowslipcross/src/lib.rs
+++ b/crates/cowslipcross/src/lib.rs
@@ -11,4 +11,5 @@
 mod serve;
 mod status;
 mod stop;
+mod store_calls;
 mod views;
--- a/crates/cowslipcross/src/views/config.rs
+++ b/crates/cowslipcross/src/views/config.rs
@@ -5,6 +5,7 @@
         context::Context,
         events,
         serve::routes::Routes,
+        store_calls,
         views::{store_era, store_health::StoreHealth},
     },
     cowslip_adapter::{
@@ -131,10 +132,9 @@
 /// Reads and applies all of the operators' rows; withdrawals that have no row any more end, except
 /// during [`REWRITE_GRACE`].
 async fn read_all(context: &Context) -> Result<StoreVersion, Error> {
-    let rows = context
-        .watch_store
-        .read_table(OPERATOR_TABLE, CALL_TIMEOUT)
-        .await?;
+    let store = &context.watch_store;
+    let rows =
+        store_calls::timed(context, |timeout| store.read_table(OPERATOR_TABLE, timeout)).await?;
     store_era::observe(context, rows.store_version.era);
     let withdrawn_name = |row: &Row| match OperatorRow::from_key(&row.key) {
         OperatorRow::Withdrawn(data_centre) => Some(Name::from(data_centre)),
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -5,6 +5,7 @@
     crate::{
         context::Context,
         events::{self, EventFields},
+        store_calls,
         views::{
             store_era,
             store_health::StoreHealth,
@@ -20,8 +21,6 @@
     tokio::time::{Instant, sleep_until},
 };
 
-/// Time within which the store has to answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age of the snapshot at which the targets are read from the store.
 const SNAPSHOT_MAX_AGE: Duration = Duration::from_millis(1500);
 /// [`SNAPSHOT_MAX_AGE`] of the leader, which has to reassign the keys of draining targets and informs the
@@ -34,10 +33,9 @@
     loop {
         wait_until_due(&context).await;
         let sent_at = Instant::now();
-        let read = context
-            .target_store
-            .read_table(TARGET_TABLE, CALL_TIMEOUT)
-            .await;
+        let store = &context.target_store;
+        let read =
+            store_calls::timed(&context, |timeout| store.read_table(TARGET_TABLE, timeout)).await;
         health.record_call(&context, "targets", read.as_ref().err());
         match read {
             Ok(rows) => {
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -14,4 +14,5 @@
 mod requests;
 mod restoration;
 mod shutdown;
+mod slow_store;
 mod store_clock;
--- a/crates/decide/src/election.rs
+++ b/crates/decide/src/election.rs
@@ -76,6 +76,15 @@
     },
 }
 
+/// Why an instance that could claim the row has to read first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimObstacle {
+    /// No time of the store's clock is known.
+    NoTimestamp,
+    /// The last known time is too old, or from before the row could be claimed. Holds its age.
+    OldTimestamp(Duration),
+}
+
 /// Delay with which an instance claims a row that is free.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ClaimDelay {
@@ -226,19 +235,24 @@
         if now.monotonic < due {
             return ElectionAction::Wait;
         }
-        // The row of a lease that is kept, or lost a moment ago, is older than every later timestamp.
-        let known_free = match self.lease.is_some() || row.is_own || self.is_continuing {
-            true => None,
-            false => Some(due),
-        };
-        match self.lease.is_none() && !self.has_claim_timestamp(known_free, now) {
+        let version = row.version;
+        // The row that only this instance wrote is older than every timestamp that it knows.
+        let free_since = (!row.is_own && !self.is_continuing).then_some(due);
+        match self.lease.is_none() && self.claim_obstacle(free_since, now).is_some() {
             true => ElectionAction::Read,
-            false => ElectionAction::Write {
-                version: row.version,
-            },
+            false => ElectionAction::Write { version },
         }
     }
 
+    /// Returns why the row, which may be claimed now, cannot be claimed before another read; `None` if it can, or
+    /// may not be claimed yet.
+    pub fn deferral(&self, now: LocalTime, claim_delay: ClaimDelay) -> Option<ClaimObstacle> {
+        let (row, known_since) = self.row.as_ref()?;
+        let due = self.row_free_time(row, *known_since) + claim_delay.duration;
+        let is_due = self.lease.is_none() && due <= now.monotonic;
+        is_due.then(|| self.claim_obstacle(Some(due), now))?
+    }
+
     /// Returns when any instance may claim the row, as far as this one knows; may be in the past.
     fn row_free_time(&self, row: &LeaderRow, known_since: Instant) -> Instant {
         if row.version.is_none() {
@@ -252,21 +266,25 @@
             .map_or(known_long, |expiry| expiry.min(known_long))
     }
 
-    /// Returns whether a claim may contain the store timestamp; `due` is since when the row could be claimed, or
+    /// Returns why a claim may not contain the store timestamp; `due` is since when the row could be claimed, or
     /// `None` if only this instance wrote it.
     ///
     /// The lease counts from the timestamp, so that an old one leaves less of it. If it were older than the row that
     /// is replaced, the next reader of the row would assume that the previous leader's grants end earlier than they
     /// do. A call that was sent after the row could be claimed returns a later one, however long it takes. By that
     /// call most of the instances that find the row free at the same time also learn that one of them has claimed it.
-    fn has_claim_timestamp(&self, due: Option<Instant>, now: LocalTime) -> bool {
+    fn claim_obstacle(&self, due: Option<Instant>, now: LocalTime) -> Option<ClaimObstacle> {
         let Some(StoreTimestamp { sent_at, .. }) = self.store_timestamp else {
-            return false;
+            return Some(ClaimObstacle::NoTimestamp);
         };
         // The lease ends by this clock, which counts suspensions.
         let age = now.since_boot.saturating_sub(sent_at.since_boot);
         let is_sent_since = due.is_none_or(|due| sent_at.monotonic >= due);
-        age <= RECENT_AGE || is_sent_since && age <= self.lease_ttl.mul_f64(CLAIM_AGE_RATIO)
+        let max_age = match is_sent_since {
+            true => self.lease_ttl.mul_f64(CLAIM_AGE_RATIO),
+            false => RECENT_AGE,
+        };
+        (age > max_age).then_some(ClaimObstacle::OldTimestamp(age))
     }
 
     /// Applies the row as read from the store, with the store's time if the store returned it.
