fix(serve): connections without a request in progress keep no room for one

Cause: hyper stores the future that handles a request in the state of the connection, whether there is one or not; ours holds the states of all steps of a request, 22 kB.

Change: the future is boxed, on the ports for callers and for instances. The new test fails before (36,222 bytes for each connection, 20,869 allowed: half of 120 MB for 2,875 connections) and passes now.

Also, found by reading: a target that reports absurd numbers of requests made a sum wrap; it saturates now.

--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -71,7 +71,8 @@
     // The connection also works without these options.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let service = service_fn(|request| handle_request(context.clone(), request, from));
+    // Boxed like the handling of callers' requests, as hyper keeps room for it on each connection.
+    let service = service_fn(|request| Box::pin(handle_request(context.clone(), request, from)));
     // The instance that asks sees an error of the connection, too.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/cowslipcross/src/serve/server.rs
+++ b/crates/cowslipcross/src/serve/server.rs
@@ -114,11 +114,12 @@
     let service = service_fn(|request| {
         let (context, usage) = (context.clone(), usage.clone());
         usage.set(Usage::HandlesRequest);
-        async move {
+        // hyper keeps room for this future on each connection, also while there is no request.
+        Box::pin(async move {
             let response = handle_request(context, request, caller).await;
             usage.set(Usage::Idle);
             Ok::<_, Infallible>(response)
-        }
+        })
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/cowslipcross/src/serve/target_selection.rs
+++ b/crates/cowslipcross/src/serve/target_selection.rs
@@ -258,7 +258,7 @@
 fn expected_seconds(connections: &TargetConnections, is_local: bool, now: Instant) -> f64 {
     let reported = connections.load.get().map(|(load, reported_at)| {
         let age = (now - reported_at).as_secs_f64() / LOAD_DECAY_TIME.as_secs_f64();
-        let requests = f64::from(load.running + load.waiting) * (-age).exp();
+        let requests = f64::from(load.running.saturating_add(load.waiting)) * (-age).exp();
         (requests, load.slots)
     });
     let (requests, slots) = reported.unwrap_or((0.0, ASSUMED_SLOTS));
--- a/crates/cowslipcross/tests/instance/body_memory.rs
+++ b/crates/cowslipcross/tests/instance/body_memory.rs
@@ -1,4 +1,4 @@
-//! Tests of the memory that bodies take.
+//! Tests of the memory that bodies and connections take.
 
 use {
     crate::deployment::{Deployment, lookup_request, request},
@@ -14,7 +14,7 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep},
 };
 
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
@@ -24,6 +24,10 @@
 const LONG_BODY_BYTES: usize = 16_000_000;
 const LONG_REQUESTS: usize = 12;
 const SHORT_REQUESTS: usize = 20;
+/// Connections of callers, and the memory that each may take: half of that of the smallest machine, 120 MB, for as
+/// many as its file descriptors allow, 2,875.
+const CONNECTIONS: u64 = 300;
+const MAX_CONNECTION_BYTES: u64 = 60_000_000 / 2_875;
 /// Time in which an instance reads the reports of targets.
 const READ_TIME: Duration = Duration::from_millis(1500);
 
@@ -96,3 +100,29 @@
     let peak = instance.peak_memory();
     assert!(peak < MAX_MEMORY_BYTES, "{peak} bytes");
 }
+
+/// Guards against connections whose requests never become whole, which together held more than an instance has.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_with_incomplete_requests_do_not_exhaust_the_memory() {
+    let deployment = Deployment::start(1, 1, 2, PROCESSING_TIME).await;
+    let instance = &deployment.instances[0];
+    let before = instance.peak_memory();
+    let mut connections = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(instance.callers)
+            .await
+            .expect("connects");
+        let head = b"GET /lookup/x HTTP/1.1\r\nhost: front";
+        stream
+            .write_all(head)
+            .await
+            .expect("the connection is open");
+        connections.push(stream);
+    }
+    sleep(READ_TIME).await;
+    let each = (instance.peak_memory() - before) / CONNECTIONS;
+    assert!(
+        each < MAX_CONNECTION_BYTES,
+        "{each} bytes for each connection"
+    );
+}
