--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -127,9 +127,14 @@
         }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let mut command = Command::new("kill");
         let kill = ports::spawn_process(command.args(["-s", name, &id]));
         let status = kill.expect("kill starts").wait();
@@ -150,7 +155,7 @@
 
     /// Returns the most memory that the process has used so far, in bytes.
     pub fn peak_memory(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
+        let path = format!("/proc/{}/status", self.id());
         let status = fs::read_to_string(path).expect("the process runs");
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let kibibytes = peak.and_then(|text| text.trim().strip_suffix(" kB"));
