--- a/crates/cowslipcross/tests/instance/faulty_targets.rs
+++ b/crates/cowslipcross/tests/instance/faulty_targets.rs
@@ -54,7 +54,7 @@
         (EndlessPart::Headers, StatusCode::BAD_GATEWAY),
         (EndlessPart::InterimResponses, StatusCode::BAD_GATEWAY),
         (EndlessPart::ChunkedBody, StatusCode::BAD_GATEWAY),
-        (EndlessPart::TinyChunks, StatusCode::BAD_GATEWAY),
+        (EndlessPart::TinyChunks, StatusCode::GATEWAY_TIMEOUT),
         (EndlessPart::UnframedBody, StatusCode::BAD_GATEWAY),
         (EndlessPart::RefusalBody, StatusCode::SERVICE_UNAVAILABLE),
         (EndlessPart::Trailing, StatusCode::OK),
