--- a/crates/cowslipcross/src/serve/forward.rs
+++ b/crates/cowslipcross/src/serve/forward.rs
@@ -47,8 +47,8 @@
         if Instant::now() >= request.deadline {
             return error_outcome(history.final_error(Reason::Deadline));
         }
-        if let Some((reason, wait)) = find_ban(&context, &request) {
-            return ban_outcome(&history, reason, wait);
+        if let Some((reason, wait)) = find_obstacle(&context, &request) {
+            return unsendable_outcome(&history, reason, wait);
         }
         let step = match select_target(&context, &request) {
             Selection::Refuse(wait) => return overload_outcome(&history, wait),
@@ -100,7 +100,7 @@
     {
         return Step::Finish(overload_outcome(history, wait));
     }
-    send_unless_banned(context, request, history, (connections, target), permit).await
+    send_if_allowed(context, request, history, (connections, target), permit).await
 }
 
 /// Sends a request to a target of an unsharded service, without a permit if no coordinator answers.
@@ -133,11 +133,11 @@
                 }
             }
         };
-    send_unless_banned(context, request, history, (connections, &target), permit).await
+    send_if_allowed(context, request, history, (connections, &target), permit).await
 }
 
 /// Returns why a request must not be sent any more, and the time after which its caller should come back.
-fn find_ban(context: &Context, request: &CallerRequest) -> Option<(Reason, Duration)> {
+fn find_obstacle(context: &Context, request: &CallerRequest) -> Option<(Reason, Duration)> {
     if let Some(wait) = crashing_requests::remaining_block(context, request) {
         return Some((Reason::CrashesTargets, wait));
     }
@@ -146,14 +146,14 @@
 }
 
 /// Sends a request to a target, unless it must not be sent any more since it has waited for the permit.
-async fn send_unless_banned(
+async fn send_if_allowed(
     context: &Rc<Context>,
     request: &Rc<CallerRequest>,
     history: &mut AttemptHistory,
     (connections, target): (Rc<TargetConnections>, &Name),
     permit: Option<Permit>,
 ) -> Step {
-    if find_ban(context, request).is_some() {
+    if find_obstacle(context, request).is_some() {
         return Step::SelectAfter(Duration::ZERO);
     }
     let outcome = attempt::run_attempt(context, request, connections, target, permit).await;
@@ -297,8 +297,8 @@
 }
 
 /// Returns the outcome of a request that must not be sent any more.
-fn ban_outcome(history: &AttemptHistory, reason: Reason, wait: Duration) -> RequestOutcome {
-    match history.ban_error(reason) {
+fn unsendable_outcome(history: &AttemptHistory, reason: Reason, wait: Duration) -> RequestOutcome {
+    match history.unsendable_error(reason) {
         FinalError::Refused(reason) => RequestOutcome::Refused(Refusal { reason, wait }),
         other => error_outcome(other),
     }
--- a/crates/decide/src/attempts.rs
+++ b/crates/decide/src/attempts.rs
@@ -148,7 +148,7 @@
 
     /// Returns the error for a request that must not be sent again for this reason, however long its caller would
     /// wait.
-    pub fn ban_error(&self, reason: Reason) -> FinalError {
+    pub fn unsendable_error(&self, reason: Reason) -> FinalError {
         self.not_run_error(reason)
     }
 
