--- a/crates/cowslipcross/src/serve/request.rs
+++ b/crates/cowslipcross/src/serve/request.rs
@@ -246,7 +246,7 @@
     let room = context.body_budget.open_room(BodyKind::Caller);
     let read = timeout_at(deadline, body_reader::read_body(&mut body, room, max_bytes));
     let read = tokio::select! {
-        // A body that is complete already counts, however late it is looked at.
+        // Both may be ready: a body that is complete needs no reader for the rest of it.
         biased;
         read = read => read,
         () = late_requests::wait_until_refused(context, deadline) => {
