--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -19,10 +19,10 @@
     },
     cowslip_adapter::{config::Config, store::Store},
     cowslip_decide::{
-        body_budget::BodyBudget,
         call_timeout::CallTimeout,
         election::LeaderElection,
         limits::{RetryBudget, RetryWindow},
+        memory_budget::MemoryBudget,
         names::{Incarnation, Name, StoreVersion},
         owners::{Assignment, AssignmentTable, PreviousLeaders, StoreTimeBound, TargetIncarnation},
         reach::Reach,
@@ -166,7 +166,7 @@
     /// Requests that crash the targets that run them.
     pub crashing_requests: RefCell<CrashingRequests>,
     /// Memory for the bodies of all messages.
-    pub body_budget: Arc<BodyBudget>,
+    pub memory_budget: Arc<MemoryBudget>,
     /// Targets that may have restarted since their last report.
     pub restarts: RefCell<Restarts>,
     /// Whether this instance reaches targets on its own path.
@@ -244,16 +244,16 @@
             incarnation,
         };
         let logger = logger::stdout(spdlog::Level::Debug)?;
-        let body_budget = BodyBudget::new((settings.memory * BODY_BYTES_PER_MIB) as usize);
+        let memory_budget = MemoryBudget::new((settings.memory * BODY_BYTES_PER_MIB) as usize);
         Ok(Self {
             bounds: RefCell::new(settings.bounds.clone()),
             run_id: format!("{}-{:x}", settings.name, rand::random::<u64>()),
             events: EventLog::new(origin, EVENT_CAPACITY, Some(logger)),
             metrics: Metrics::default(),
-            watch_store: Store::new(settings.store, body_budget.clone()),
-            target_store: Store::new(settings.store, body_budget.clone()),
-            router_store: Store::new(settings.store, body_budget.clone()),
-            body_budget,
+            watch_store: Store::new(settings.store, memory_budget.clone()),
+            target_store: Store::new(settings.store, memory_budget.clone()),
+            router_store: Store::new(settings.store, memory_budget.clone()),
+            memory_budget,
             store_era: Cell::new(None),
             restored_at: Cell::new(None),
             unknown_until: Cell::new(None),
--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -13,7 +13,7 @@
     },
     cowslip_adapter::config::Route,
     cowslip_decide::{
-        body_budget::{BodyBudget, BodyKind},
+        memory_budget::{ConnectionKind, MemoryBudget},
         names::Name,
         owners::{Command, CommandOutcome},
     },
@@ -294,12 +294,12 @@
             .set(coordinator::leaving_centres(context) as i64);
         self.set_view_ages(ViewAges::from(context));
         self.set_organisations(&context.organisations);
-        self.set_bodies(&context.body_budget);
+        self.set_bodies(&context.memory_budget);
         self.registry.render()
     }
 
     /// Sets the memory of bodies and the number of those that had no room.
-    fn set_bodies(&self, budget: &BodyBudget) {
+    fn set_bodies(&self, budget: &MemoryBudget) {
         let bytes = [
             ("held", budget.held()),
             ("peak", budget.peak()),
@@ -308,7 +308,7 @@
         for (what, bytes) in bytes {
             self.body_bytes.with_label_values(&[what]).set(bytes as f64);
         }
-        for kind in BodyKind::ALL {
+        for kind in ConnectionKind::ALL {
             let refused = budget.refused(kind) as f64;
             let gauge = self.refused_bodies.with_label_values(&[kind.as_str()]);
             gauge.set(refused);
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -15,7 +15,7 @@
         interim_responses::InterimResponses,
     },
     cowslip_decide::{
-        body_budget::{BodyBudget, BodyKind, BodyRoom},
+        memory_budget::{ConnectionKind, MemoryBudget, MemoryRoom},
         names::Name,
         unsettled::{ConnectionFate, RequestIdHash},
     },
@@ -197,7 +197,7 @@
 
 /// Sends a request on an idle or new connection and waits for the complete response.
 pub async fn send_request(
-    budget: &Arc<BodyBudget>,
+    budget: &Arc<MemoryBudget>,
     path: &Path<'_>,
     target: &Name,
     request: TargetRequest<'_>,
@@ -280,7 +280,7 @@
 
 /// Sends a request on a connection; returns `None` if it was closed before anything was sent.
 async fn send_on_connection(
-    budget: &Arc<BodyBudget>,
+    budget: &Arc<MemoryBudget>,
     path: &Path<'_>,
     mut active: ActiveConnection<'_>,
     mut message: http::Request<RequestBody>,
@@ -310,7 +310,7 @@
 
 /// Reads the rest of a response and keeps its connection for reuse.
 async fn receive_response(
-    budget: &Arc<BodyBudget>,
+    budget: &Arc<MemoryBudget>,
     path: &Path<'_>,
     mut active: ActiveConnection<'_>,
     mut response: Response<Incoming>,
@@ -318,8 +318,8 @@
 ) -> ExchangeOutcome {
     let target = path.target;
     let kind = match path.relay {
-        Some(_) => BodyKind::Instance,
-        None => BodyKind::Target,
+        Some(_) => ConnectionKind::Instance,
+        None => ConnectionKind::Target,
     };
     if path.relay.is_some() {
         match relay_headers::take_reply(response.headers_mut()) {
@@ -375,7 +375,7 @@
 
 /// Reads the body of a refusal; without it, the connection is not used again.
 async fn receive_refusal(
-    room: BodyRoom,
+    room: MemoryRoom,
     mut active: ActiveConnection<'_>,
     response: Response<Incoming>,
     metadata: ResponseMetadata,
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -15,7 +15,7 @@
     },
     bytes::Bytes,
     cowslip_adapter::{body_reader, headers},
-    cowslip_decide::{body_budget::BodyKind, names::Name, owners::TargetIncarnation},
+    cowslip_decide::{memory_budget::ConnectionKind, names::Name, owners::TargetIncarnation},
     http::{HeaderMap, HeaderValue, Response, StatusCode, header, request::Parts},
     http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -173,7 +173,7 @@
     };
     let config = context.config.borrow().clone();
     let max_bytes = config.map_or(0, |it| it.limits.body_bytes);
-    let room = context.body_budget.open_room(BodyKind::Instance);
+    let room = context.memory_budget.open_room(ConnectionKind::Instance);
     let body = timeout_at(deadline, body_reader::read_body(body, room, max_bytes)).await;
     let Ok(Ok(body)) = body else {
         return denied();
--- a/crates/cowslipcross/src/serve/request.rs
+++ b/crates/cowslipcross/src/serve/request.rs
@@ -16,7 +16,7 @@
         headers,
         organisations::Organisation,
     },
-    cowslip_decide::{body_budget::BodyKind, names::Name},
+    cowslip_decide::{memory_budget::ConnectionKind, names::Name},
     http::{HeaderMap, HeaderValue, Method, StatusCode, header, request::Parts},
     hyper::body::Incoming,
     std::{net::IpAddr, rc::Rc, time::Duration},
@@ -243,7 +243,7 @@
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, BadRequest> {
-    let room = context.body_budget.open_room(BodyKind::Caller);
+    let room = context.memory_budget.open_room(ConnectionKind::Caller);
     let read = timeout_at(deadline, body_reader::read_body(&mut body, room, max_bytes));
     let read = tokio::select! {
         // Both may be ready: a body that is complete needs no reader for the rest of it.
--- a/crates/cowslipcross/src/serve/target_path.rs
+++ b/crates/cowslipcross/src/serve/target_path.rs
@@ -97,7 +97,7 @@
         target: connections,
         relay: None,
     };
-    let budget = &context.body_budget;
+    let budget = &context.memory_budget;
     let last_opened = connections.opened_at.get();
     let outcome = exchange::send_request(budget, &path, &target.id, request, max_connections).await;
     if connections.opened_at.get() != last_opened {
@@ -307,7 +307,7 @@
         target: connections,
         relay: Some(relay.into()),
     };
-    let budget = &context.body_budget;
+    let budget = &context.memory_budget;
     let max = MAX_RELAY_CONNECTIONS;
     let outcome = exchange::send_request(budget, &path, &target.id, request, max).await;
     let mut relays = context.relays.borrow_mut();
--- a/crates/cowslipctl/src/configuration.rs
+++ b/crates/cowslipctl/src/configuration.rs
@@ -11,7 +11,7 @@
         config::Config,
         store::{OPERATOR_TABLE, OperatorRow, Row, Store},
     },
-    cowslip_decide::body_budget::BodyBudget,
+    cowslip_decide::memory_budget::MemoryBudget,
     cowslip_settings::operator::OperatorSettings,
     serde_json::{Value, json},
     std::{fs, path::Path, time::Duration},
@@ -128,7 +128,7 @@
         || Error::MissingInput("settings: store: missing, expected an address".to_owned());
     let address = settings.store.ok_or_else(missing_store)?;
     let time_limit = Duration::from_millis(settings.timeout_ms);
-    let rows = Store::new(address, BodyBudget::new(MAX_RESPONSE_BYTES))
+    let rows = Store::new(address, MemoryBudget::new(MAX_RESPONSE_BYTES))
         .read_table(OPERATOR_TABLE, time_limit)
         .await;
     let rows = rows.map_err(|error| Error::Unreachable(error.to_string()))?;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,12 +6,12 @@
 
 pub mod allotments;
 pub mod attempts;
-pub mod body_budget;
 pub mod call_timeout;
 pub mod crashes;
 pub mod election;
 pub mod formats;
 pub mod limits;
+pub mod memory_budget;
 pub mod names;
 pub mod owners;
 pub mod permits;
--- a/crates/decide/src/body_budget.rs
+++ b/crates/decide/src/memory_budget.rs
@@ -18,7 +18,7 @@
 
 /// Kind of the connection on which a body arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum BodyKind {
+pub enum ConnectionKind {
     /// Request of a caller.
     Caller,
     /// Response of a target to a request.
@@ -33,22 +33,22 @@
 
 /// Memory for bodies, in use and in all.
 #[derive(Debug)]
-pub struct BodyBudget {
+pub struct MemoryBudget {
     limit: usize,
     held: AtomicUsize,
     peak: AtomicUsize,
-    refused: [AtomicU64; BodyKind::ALL.len()],
+    refused: [AtomicU64; ConnectionKind::ALL.len()],
 }
 
 /// Memory that one body holds; given back on drop.
 #[derive(Debug)]
-pub struct BodyRoom {
-    budget: Arc<BodyBudget>,
-    kind: BodyKind,
+pub struct MemoryRoom {
+    budget: Arc<MemoryBudget>,
+    kind: ConnectionKind,
     bytes: usize,
 }
 
-impl BodyKind {
+impl ConnectionKind {
     /// All kinds.
     pub const ALL: [Self; 5] = [
         Self::Caller,
@@ -70,7 +70,7 @@
     }
 }
 
-impl BodyBudget {
+impl MemoryBudget {
     /// Creates a budget of so many bytes, all of which are free.
     pub fn new(limit: usize) -> Arc<Self> {
         Arc::new(Self {
@@ -82,8 +82,8 @@
     }
 
     /// Returns the room of a body that holds nothing yet.
-    pub fn open_room(self: &Arc<Self>, kind: BodyKind) -> BodyRoom {
-        BodyRoom {
+    pub fn open_room(self: &Arc<Self>, kind: ConnectionKind) -> MemoryRoom {
+        MemoryRoom {
             budget: self.clone(),
             kind,
             bytes: 0,
@@ -106,22 +106,22 @@
     }
 
     /// Returns the number of bodies of a kind that were given up for want of room.
-    pub fn refused(&self, kind: BodyKind) -> u64 {
+    pub fn refused(&self, kind: ConnectionKind) -> u64 {
         self.refused[kind as usize].load(Ordering::Relaxed)
     }
 
     /// Returns how much all bodies together may hold for one of this kind to have this size.
-    fn allowance(&self, kind: BodyKind, bytes: usize) -> usize {
+    fn allowance(&self, kind: ConnectionKind, bytes: usize) -> usize {
         let ratio = match kind {
             _ if bytes <= SMALL_BODY_BYTES => 1.0,
-            BodyKind::Caller => LARGE_REQUEST_RATIO,
+            ConnectionKind::Caller => LARGE_REQUEST_RATIO,
             _ => LARGE_BODY_RATIO,
         };
         (self.limit as f64 * ratio) as usize
     }
 }
 
-impl BodyRoom {
+impl MemoryRoom {
     /// Grows to so many bytes; returns `false`, and counts the body as refused, if there is no room for them.
     pub fn grow(&mut self, bytes: usize) -> bool {
         let allowance = self.budget.allowance(self.kind, bytes);
@@ -141,7 +141,7 @@
     }
 }
 
-impl Drop for BodyRoom {
+impl Drop for MemoryRoom {
     fn drop(&mut self) {
         self.budget.held.fetch_sub(self.bytes, Ordering::Relaxed);
     }
