fix(serve): read buffers of connections and requests in progress count in the memory budget

Callers saw: nothing yet. Cause: one budget counted bodies only; read buffers (up to twice the bound on heads a connection) and the state of requests were bounded by the number of descriptors alone, so that all of them and all bodies together took more than an instance has. Now the budget is three quarters of the memory and counts all of them; without room a caller gets 503 with a time to come back, and a request that is whole is never cut for it. The operators' and instances' ports bound their read buffers, too.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -54,8 +54,8 @@
 /// Number of instances assumed before the first heartbeat; high, so that this instance's share of
 /// the limits that are divided among all starts small.
 const ASSUMED_INSTANCES: u32 = 100;
-/// Bytes that bodies of messages may hold for each MiB of the instance's memory: half of it.
-const BODY_BYTES_PER_MIB: f64 = 0.5 * 1024.0 * 1024.0;
+/// Bytes that messages may hold for each MiB of the instance's memory: three quarters of it.
+const MESSAGE_BYTES_PER_MIB: f64 = 0.75 * 1024.0 * 1024.0;
 /// Events kept for operators.
 const EVENT_CAPACITY: usize = 512;
 
@@ -244,7 +244,7 @@
             incarnation,
         };
         let logger = logger::stdout(spdlog::Level::Debug)?;
-        let memory_budget = MemoryBudget::new((settings.memory * BODY_BYTES_PER_MIB) as usize);
+        let memory_budget = MemoryBudget::new((settings.memory * MESSAGE_BYTES_PER_MIB) as usize);
         Ok(Self {
             bounds: RefCell::new(settings.bounds.clone()),
             run_id: format!("{}-{:x}", settings.name, rand::random::<u64>()),
--- a/crates/cowslipcross/src/endpoints.rs
+++ b/crates/cowslipcross/src/endpoints.rs
@@ -7,7 +7,7 @@
         status::Status,
     },
     bytes::Bytes,
-    cowslip_adapter::paths::READINESS_PATH,
+    cowslip_adapter::{metered_stream::MIN_READ_BUFFER_BYTES, paths::READINESS_PATH},
     http::{HeaderMap, Request, Response, StatusCode, header},
     http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -120,6 +120,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
+        .max_buf_size(MIN_READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     // How the connection ends does not matter.
     let _ = timeout(CONNECTION_LIFETIME, connection).await;
--- a/crates/cowslipcross/src/events/catalogue.rs
+++ b/crates/cowslipcross/src/events/catalogue.rs
@@ -70,7 +70,7 @@
         "The process ends: no request is in progress any more, or the grace period is over.";
         "Nothing.";
     106 CONNECTION_REFUSED Warn FREQUENT_RATE; "connection of a caller not accepted: {detail}";
-        "A connection could not be accepted, for lack of file descriptors for example.";
+        "A connection was not accepted, or ended before its request was whole, for lack of file descriptors or memory.";
         "Look for callers that leave connections open.";
     107 TASK_FAILED Error None; "task failed to start: {detail}";
         "A task of the process could not start; the process runs without it.";
--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -45,6 +45,7 @@
     unreadable_reports: IntGauge,
     body_bytes: GaugeVec,
     refused_bodies: GaugeVec,
+    refused_connections: GaugeVec,
     config_version: IntGauge,
     is_leader: IntGauge,
     active_requests: IntGauge,
@@ -143,6 +144,11 @@
                 "Memory of bodies of messages: held now, the most so far, and the limit.",
                 &["what"],
             ),
+            refused_connections: registry.gauge_with_labels(
+                "refused_connections",
+                "connections that were closed for want of memory since the start, by their peer",
+                &["from"],
+            ),
             refused_bodies: registry.gauge_with_labels(
                 "refused_bodies",
                 "Bodies that were given up for want of memory since the start.",
@@ -294,12 +300,12 @@
             .set(coordinator::leaving_centres(context) as i64);
         self.set_view_ages(ViewAges::from(context));
         self.set_organisations(&context.organisations);
-        self.set_bodies(&context.memory_budget);
+        self.set_memory(&context.memory_budget);
         self.registry.render()
     }
 
-    /// Sets the memory of bodies and the number of those that had no room.
-    fn set_bodies(&self, budget: &MemoryBudget) {
+    /// Sets the memory of messages and the number of those that had no room.
+    fn set_memory(&self, budget: &MemoryBudget) {
         let bytes = [
             ("held", budget.held()),
             ("peak", budget.peak()),
@@ -309,9 +315,14 @@
             self.body_bytes.with_label_values(&[what]).set(bytes as f64);
         }
         for kind in ConnectionKind::ALL {
-            let refused = budget.refused(kind) as f64;
-            let gauge = self.refused_bodies.with_label_values(&[kind.as_str()]);
-            gauge.set(refused);
+            let counts = [
+                (&self.refused_bodies, budget.refused_bodies(kind)),
+                (&self.refused_connections, budget.refused_connections(kind)),
+            ];
+            for (gauge, count) in counts {
+                let gauge = gauge.with_label_values(&[kind.as_str()]);
+                gauge.set(count as f64);
+            }
         }
     }
 
--- a/crates/cowslipcross/src/serve/caller_response.rs
+++ b/crates/cowslipcross/src/serve/caller_response.rs
@@ -23,7 +23,7 @@
 /// Time after which a caller of an instance without a configuration should come back.
 const NO_CONFIG_WAIT: Duration = Duration::from_millis(300);
 
-/// Time after which a caller should come back whose body had no room; most bodies are held for less.
+/// Time after which a caller should come back for whose request there was no memory; most are held for less.
 const NO_ROOM_WAIT: Duration = Duration::from_millis(500);
 
 /// Time after which a caller of an instance that stops should come back: other instances serve it.
@@ -105,6 +105,23 @@
     response
 }
 
+/// Returns a whole message that says that there is no memory for a request, for a connection on which no response can
+/// be sent otherwise.
+pub fn no_room_message() -> Vec<u8> {
+    let bad = BadRequest::NoRoom;
+    let wait = NO_ROOM_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER));
+    let wait = headers::format_retry_after(wait);
+    let text = bad.message();
+    let message = format!(
+        "HTTP/1.1 {}\r\nretry-after: {}\r\nconnection: close\r\ncontent-type: text/plain\r\n\
+         content-length: {}\r\n\r\n{text}",
+        bad.status(),
+        wait.to_str().unwrap_or_default(),
+        text.len()
+    );
+    message.into_bytes()
+}
+
 fn forwarded_response(received: TargetResponse) -> Response<ResponseBody> {
     let mut response = Response::new(Full::new(received.body));
     *response.status_mut() = received.status;
--- a/crates/cowslipcross/src/serve/caller_stream.rs
+++ b/crates/cowslipcross/src/serve/caller_stream.rs
@@ -1,6 +1,9 @@
-//! A caller's connection that knows whether the head of a request is arriving on it.
+//! A caller's connection that knows what it is used for, and refuses a request for whose head or body there is no
+//! memory.
 
 use {
+    crate::serve::caller_response,
+    cowslip_adapter::metered_stream::MeteredStream,
     std::{
         cell::Cell,
         io,
@@ -8,10 +11,7 @@
         rc::Rc,
         task::{Context, Poll},
     },
-    tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
-        net::TcpStream,
-    },
+    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
 /// What a connection is used for now.
@@ -22,8 +22,12 @@
     Idle,
     /// Part of the head of a request has been read.
     ReadsHead,
-    /// A request is being handled.
+    /// The body of a request is being read.
+    ReadsBody,
+    /// A request that is whole is being handled.
     HandlesRequest,
+    /// There was no memory for a request, so that the connection ends.
+    Refused,
 }
 
 /// Shared with the handler of requests, which sets it when a request begins and ends.
@@ -31,14 +35,40 @@
 
 /// A connection that tracks its usage.
 pub struct CallerStream {
-    stream: TcpStream,
+    stream: MeteredStream,
     usage: SharedUsage,
+    /// Whether a part of a response is still to be sent.
+    is_sending: bool,
 }
 
 impl CallerStream {
     /// Tracks the usage of a connection.
-    pub fn new(stream: TcpStream, usage: SharedUsage) -> Self {
-        Self { stream, usage }
+    pub fn new(stream: MeteredStream, usage: SharedUsage) -> Self {
+        Self {
+            stream,
+            usage,
+            is_sending: false,
+        }
+    }
+
+    /// Ends the connection for want of memory, and tells the caller that its request has not run.
+    fn refuse(&self) {
+        self.usage.set(Usage::Refused);
+        if !self.is_sending {
+            self.stream.try_write(&caller_response::no_room_message());
+        }
+    }
+
+    /// Keeps whether a response of so many bytes was sent whole.
+    fn record_write(&mut self, bytes: usize, written: &Poll<io::Result<usize>>) {
+        self.is_sending = !matches!(written, Poll::Ready(Ok(count)) if *count == bytes);
+    }
+
+    fn check_usable(&self) -> io::Result<()> {
+        match self.usage.get() {
+            Usage::Refused => Err(io::ErrorKind::BrokenPipe.into()),
+            _ => Ok(()),
+        }
     }
 }
 
@@ -49,7 +79,15 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        // A request that is whole may be running, so that its connection is kept whatever it takes.
+        let is_whole = self.usage.get() == Usage::HandlesRequest;
+        self.stream.enforce(!is_whole);
         let read = Pin::new(&mut self.stream).poll_read(task, buffer);
+        if let Poll::Ready(Err(error)) = &read
+            && error.kind() == io::ErrorKind::OutOfMemory
+        {
+            self.refuse();
+        }
         if self.usage.get() == Usage::Idle && buffer.filled().len() > before {
             self.usage.set(Usage::ReadsHead);
         }
@@ -63,7 +101,10 @@
         task: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(task, bytes)
+        self.check_usable()?;
+        let written = Pin::new(&mut self.stream).poll_write(task, bytes);
+        self.record_write(bytes.len(), &written);
+        written
     }
 
     fn poll_write_vectored(
@@ -71,7 +112,11 @@
         task: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(task, slices)
+        self.check_usable()?;
+        let written = Pin::new(&mut self.stream).poll_write_vectored(task, slices);
+        let bytes = slices.iter().map(|it| it.len()).sum();
+        self.record_write(bytes, &written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -14,7 +14,11 @@
         },
     },
     bytes::Bytes,
-    cowslip_adapter::{body_reader, headers},
+    cowslip_adapter::{
+        body_reader, headers,
+        http_client::MAX_READ_BUFFER_BYTES,
+        metered_stream::{self, MeteredStream},
+    },
     cowslip_decide::{memory_budget::ConnectionKind, names::Name, owners::TargetIncarnation},
     http::{HeaderMap, HeaderValue, Response, StatusCode, header, request::Parts},
     http_body_util::Full,
@@ -71,12 +75,18 @@
     // The connection also works without these options.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    let Some(room) = metered_stream::take_room(&context.memory_budget, ConnectionKind::Instance)
+    else {
+        return;
+    };
+    let stream = MeteredStream::new(stream, room, MAX_READ_BUFFER_BYTES);
     // Boxed like the handling of callers' requests, as hyper keeps room for it on each connection.
     let service = service_fn(|request| Box::pin(handle_request(context.clone(), request, from)));
     // The instance that asks sees an error of the connection, too.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
--- a/crates/cowslipcross/src/serve/request.rs
+++ b/crates/cowslipcross/src/serve/request.rs
@@ -16,15 +16,21 @@
         headers,
         organisations::Organisation,
     },
-    cowslip_decide::{memory_budget::ConnectionKind, names::Name},
+    cowslip_decide::{
+        memory_budget::{ConnectionKind, MemoryRoom},
+        names::Name,
+    },
     http::{HeaderMap, HeaderValue, Method, StatusCode, header, request::Parts},
     hyper::body::Incoming,
     std::{net::IpAddr, rc::Rc, time::Duration},
     tokio::time::{Instant, timeout_at},
 };
 
+/// Memory that the steps of a request take beside its body, in bytes.
+const REQUEST_BYTES: usize = 24 << 10;
+
 /// A caller's request with its whole body, as it is forwarded.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct CallerRequest {
     /// Request id that the caller chose.
     pub id: HeaderValue,
@@ -50,6 +56,8 @@
     pub arrived: Instant,
     /// Time by which the caller needs the response.
     pub deadline: Instant,
+    /// Memory for the steps of the request.
+    _room: MemoryRoom,
 }
 
 impl CallerRequest {
@@ -86,7 +94,7 @@
     InvalidDeadline,
     /// The body exceeds the size limit.
     BodyTooLong,
-    /// There is no memory for the body now.
+    /// There is no memory for the request now.
     NoRoom,
     /// The request became complete, or is still incomplete, too late before this instance exits.
     Stopping,
@@ -123,7 +131,7 @@
             Self::InvalidKey(_) => "key missing or no number from 0 to 65535",
             Self::InvalidDeadline => "deadline is no number of milliseconds",
             Self::BodyTooLong => "body too long",
-            Self::NoRoom => "no memory for the body now",
+            Self::NoRoom => "no memory for the request now",
             Self::Stopping => "instance stops",
             Self::BodyTruncated => "body ended early",
             Self::BodyTimeout => "body not whole in time",
@@ -156,6 +164,7 @@
         return Err(BadRequest::InvalidKey(String::new()));
     }
     let body = read_body(context, body, config.limits.body_bytes, deadline).await?;
+    let room = take_room(context)?;
     let path = parts.uri.path_and_query();
     let path = path.map_or_else(|| "/".to_owned(), ToString::to_string);
     let key = key.filter(|_| is_sharded);
@@ -188,6 +197,7 @@
         arrived,
         deadline,
         route,
+        _room: room,
     })
 }
 
@@ -264,6 +274,15 @@
     }
 }
 
+/// Takes the memory for the steps of a request that is whole.
+fn take_room(context: &Context) -> Result<MemoryRoom, BadRequest> {
+    let mut room = context.memory_budget.open_room(ConnectionKind::Caller);
+    match room.resize(REQUEST_BYTES) {
+        true => Ok(room),
+        false => Err(BadRequest::NoRoom),
+    }
+}
+
 /// Returns the headers to forward; `content-length` is set again from the body that was read.
 pub(super) fn forwarded_headers(caller_headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers::copy_end_to_end(caller_headers);
--- a/crates/cowslipcross/src/serve/server.rs
+++ b/crates/cowslipcross/src/serve/server.rs
@@ -13,8 +13,11 @@
             request::{self, BadRequest, CallerRequest},
         },
     },
-    cowslip_adapter::headers,
-    cowslip_decide::{names::Name, verdict::Verdict},
+    cowslip_adapter::{
+        headers,
+        metered_stream::{self, MIN_READ_BUFFER_BYTES, MeteredStream},
+    },
+    cowslip_decide::{memory_budget::ConnectionKind, names::Name, verdict::Verdict},
     http::{HeaderValue, Response, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -38,8 +41,8 @@
 /// Delay before the next connection is accepted after one could not be, for example because no file
 /// descriptor was free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Smallest read buffer that hyper accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Detail of the event of a connection for which there is no memory.
+const NO_ROOM: &str = "no memory for it";
 
 /// Handle to the state of all callers' connections; clones share the state.
 #[derive(Clone, Default)]
@@ -102,6 +105,13 @@
         context.record_event(events::CONNECTION_REFUSED, error.to_string());
         return;
     }
+    let Some(room) = metered_stream::take_room(&context.memory_budget, ConnectionKind::Caller)
+    else {
+        // A caller that does not read it loses nothing but the reason for the end of the connection.
+        let _ = stream.try_write(&caller_response::no_room_message());
+        context.record_event(events::CONNECTION_REFUSED, NO_ROOM.into());
+        return;
+    };
     open_connections
         .0
         .open_count
@@ -113,22 +123,24 @@
     let usage = SharedUsage::default();
     let service = service_fn(|request| {
         let (context, usage) = (context.clone(), usage.clone());
-        usage.set(Usage::HandlesRequest);
+        usage.set(Usage::ReadsBody);
         // hyper keeps room for this future on each connection, also while there is no request.
         Box::pin(async move {
-            let response = handle_request(context, request, caller).await;
-            usage.set(Usage::Idle);
+            let response = handle_request(context, request, caller, &usage).await;
+            if usage.get() == Usage::HandlesRequest {
+                usage.set(Usage::Idle);
+            }
             Ok::<_, Infallible>(response)
         })
     });
+    let max_buffer = limits.header_bytes.max(MIN_READ_BUFFER_BYTES);
+    let stream = MeteredStream::new(stream, room, max_buffer);
+    let stream = CallerStream::new(stream, usage.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(
-            TokioIo::new(CallerStream::new(stream, usage.clone())),
-            service,
-        );
+        .max_buf_size(max_buffer)
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut close_requested = pin!(close_receiver.wait_for(|close| *close));
     let (mut is_requested, mut is_closing) = (false, false);
@@ -145,6 +157,9 @@
         connection.as_mut().poll(task)
     })
     .await;
+    if usage.get() == Usage::Refused {
+        context.record_event(events::CONNECTION_REFUSED, NO_ROOM.into());
+    }
     open_connections
         .0
         .open_count
@@ -156,12 +171,17 @@
     context: Rc<Context>,
     request: http::Request<Incoming>,
     caller: Option<IpAddr>,
+    usage: &SharedUsage,
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
     let _active = CounterGuard::new(&context.active_requests);
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&headers::REQUEST_ID).cloned();
-    let mut response = match request::read_request(&context, parts, body, (arrived, caller)).await {
+    let read = request::read_request(&context, parts, body, (arrived, caller)).await;
+    if usage.get() == Usage::ReadsBody {
+        usage.set(Usage::HandlesRequest);
+    }
+    let mut response = match read {
         // Boxed, as a request whose body is still arriving needs little of the room for this future.
         Ok(request) => Box::pin(forward(&context, Rc::new(request))).await,
         Err(bad) => reject(&context, &bad, id),
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -6,10 +6,12 @@
     cowslip_adapter::{
         headers::{Load, ResponseMetadata},
         http_client::MAX_READ_BUFFER_BYTES,
+        metered_stream::{self, MeteredStream},
         targets::TargetReport,
     },
     cowslip_decide::{
         limits::RateLimit,
+        memory_budget::{ConnectionKind, MemoryBudget, MemoryRoom},
         names::Name,
         service_time::ServiceTime,
         unsettled::{RequestIdHash, UnsettledRequests},
@@ -22,6 +24,7 @@
         io,
         mem::forget,
         net::SocketAddr,
+        sync::Arc,
         time::Duration,
     },
     tokio::{
@@ -74,7 +77,7 @@
 /// Why no connection is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectError {
-    /// This instance has as many connections to the target as it may have.
+    /// This instance has as many connections to the target as it may have, or no memory for another one.
     LimitReached,
     /// The target reset the connection as soon as it was open.
     Reset,
@@ -131,6 +134,8 @@
     pub data_centre: RefCell<Option<Name>>,
     /// What the latest response says of a limit, until it is applied.
     pub limit_statement: Cell<Option<LimitStatement>>,
+    budget: Arc<MemoryBudget>,
+    kind: ConnectionKind,
     idle: RefCell<Vec<Connection>>,
     open_count: Cell<u32>,
     /// Connections opened so far.
@@ -153,20 +158,23 @@
 }
 
 impl TargetConnections {
-    /// Creates the state for a target without opening a connection.
-    pub fn new(target: &TargetReport) -> Self {
-        Self::to_address(target.address, target.incarnation)
-    }
-
-    /// Creates the state for an instance that passes requests on, without opening a connection.
-    pub fn to_instance(address: SocketAddr) -> Self {
-        Self::to_address(address, 0)
+    /// Creates the state for a target without opening a connection; connections count against the budget.
+    pub fn new(target: &TargetReport, budget: Arc<MemoryBudget>) -> Self {
+        Self {
+            incarnation: target.incarnation,
+            kind: ConnectionKind::Target,
+            ..Self::to_instance(target.address, budget)
+        }
     }
 
-    fn to_address(address: SocketAddr, incarnation: u64) -> Self {
+    /// Creates the state for an instance that passes requests on, without opening a connection; connections count
+    /// against the budget.
+    pub fn to_instance(address: SocketAddr, budget: Arc<MemoryBudget>) -> Self {
         Self {
             address,
-            incarnation,
+            incarnation: 0,
+            budget,
+            kind: ConnectionKind::Instance,
             active_requests: Cell::new(0),
             load: Cell::new(None),
             service_time: Cell::default(),
@@ -230,14 +238,16 @@
     /// request may not be sent, is closed for it.
     ///
     /// # Errors
-    /// Fails if the limit is reached or the connection could not be opened.
+    /// Fails if the limit is reached, there is no memory for a connection, or it could not be opened.
     pub async fn open(&self, max_connections: u32) -> Result<Connection, ConnectError> {
         if self.open_count.get() >= max_connections && !self.close_oldest_idle() {
             return Err(ConnectError::LimitReached);
         }
+        let room = metered_stream::take_room(&self.budget, self.kind);
+        let room = room.ok_or(ConnectError::LimitReached)?;
         // Callers may leave meanwhile, and then drop this.
         let counted = CounterGuard::new(&self.open_count);
-        let opened = timeout(CONNECT_TIMEOUT, connect(self.address)).await;
+        let opened = timeout(CONNECT_TIMEOUT, connect(self.address, room)).await;
         match opened {
             Ok(Ok(connection)) if connection.is_reset().await => Err(ConnectError::Reset),
             Ok(Ok(mut connection)) => {
@@ -329,10 +339,11 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<Connection> {
+async fn connect(address: SocketAddr, room: MemoryRoom) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    let stream = MeteredStream::new(stream, room, MAX_READ_BUFFER_BYTES);
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/crates/cowslipcross/src/serve/target_connections_tests.rs
+++ b/crates/cowslipcross/src/serve/target_connections_tests.rs
@@ -3,7 +3,7 @@
 use {
     super::{ConnectError, TargetConnections},
     cowslip_adapter::targets::TargetReport,
-    cowslip_decide::unsettled::RequestIdHash,
+    cowslip_decide::{memory_budget::MemoryBudget, unsettled::RequestIdHash},
     std::{future::ready, net::SocketAddr, time::Duration},
     tokio::{
         net::TcpListener,
@@ -13,6 +13,8 @@
     },
 };
 
+const BUDGET_BYTES: usize = 1 << 20;
+
 fn connections_to(address: SocketAddr) -> TargetConnections {
     let report = TargetReport {
         id: "a".into(),
@@ -25,7 +27,7 @@
         sequence: 1,
         incarnation: 1,
     };
-    TargetConnections::new(&report)
+    TargetConnections::new(&report, MemoryBudget::new(BUDGET_BYTES))
 }
 
 #[tokio::test]
--- a/crates/cowslipcross/src/serve/target_path.rs
+++ b/crates/cowslipcross/src/serve/target_path.rs
@@ -351,7 +351,8 @@
 
 fn instance_connections(context: &Context, instance: SocketAddr) -> Rc<TargetConnections> {
     let mut all = context.relay_connections.borrow_mut();
-    let created = || Rc::new(TargetConnections::to_instance(instance));
+    let budget = context.memory_budget.clone();
+    let created = || Rc::new(TargetConnections::to_instance(instance, budget));
     all.entry(instance).or_insert_with(created).clone()
 }
 
--- a/crates/cowslipcross/src/serve/target_selection.rs
+++ b/crates/cowslipcross/src/serve/target_selection.rs
@@ -292,7 +292,8 @@
     if let Some(known) = all.get(id).filter(|it| it.matches_target(&view.report)) {
         return known.clone();
     }
-    let created = Rc::new(TargetConnections::new(&view.report));
+    let budget = context.memory_budget.clone();
+    let created = Rc::new(TargetConnections::new(&view.report, budget));
     all.insert(id.clone(), created.clone());
     created
 }
--- a/crates/cowslipcross/tests/instance/body_memory.rs
+++ b/crates/cowslipcross/tests/instance/body_memory.rs
@@ -9,6 +9,9 @@
     },
     futures_util::future::join_all,
     http::StatusCode,
+    http_body_util::Full,
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
     std::{
         collections::BTreeSet,
         sync::{Arc, Mutex},
@@ -28,6 +31,15 @@
 /// many as its file descriptors allow, 2,875.
 const CONNECTIONS: u64 = 300;
 const MAX_CONNECTION_BYTES: u64 = 60_000_000 / 2_875;
+/// Memory of a small instance in MiB, and connections with long heads that would take more than that.
+const SMALL_MEMORY: u32 = 60;
+const LONG_HEADS: usize = 2_500;
+const LONG_HEAD_BYTES: usize = 15_000;
+/// Memory that counts for a request in progress and for its connection, in bytes.
+const REQUEST_BYTES: f64 = 24.0 * 1024.0;
+const CONNECTION_BYTES: f64 = 16.0 * 1024.0;
+const CONCURRENT_REQUESTS: u32 = 3;
+const SLOW_PROCESSING: Duration = Duration::from_millis(400);
 /// Time in which an instance reads the reports of targets.
 const READ_TIME: Duration = Duration::from_millis(1500);
 
@@ -140,3 +152,101 @@
         "{each} bytes for each connection"
     );
 }
+
+/// Guards against long heads that never become whole, whose read buffers no budget counted: with all bodies they
+/// took more than an instance has. Connections that were open go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_incomplete_heads_do_not_exhaust_the_memory() {
+    let deployment = Deployment::start_with_memory(SMALL_MEMORY, PROCESSING_TIME).await;
+    let instance = &deployment.instances[0];
+    let stream = TcpStream::connect(instance.callers).await;
+    let stream = TokioIo::new(stream.expect("connects"));
+    let (mut open, driver) = http1::handshake::<_, Full<Bytes>>(stream)
+        .await
+        .expect("a connection");
+    tokio::spawn(driver);
+    let first = open.send_request(lookup_request("first", 7)).await;
+    assert_eq!(first.expect("a response").status(), StatusCode::OK);
+
+    let head = format!(
+        "GET /lookup/x HTTP/1.1\r\nhost: front\r\nx-long: {}",
+        "x".repeat(LONG_HEAD_BYTES)
+    );
+    let mut connections = Vec::new();
+    for _ in 0..LONG_HEADS {
+        let stream = TcpStream::connect(instance.callers).await;
+        let mut stream = stream.expect("connects");
+        // The connection may have been refused meanwhile.
+        let _ = stream.write_all(head.as_bytes()).await;
+        connections.push(stream);
+    }
+    sleep(READ_TIME).await;
+    let next = open.send_request(lookup_request("next", 7)).await;
+    assert_eq!(next.expect("a response").status(), StatusCode::OK);
+    let peak = instance.peak_memory();
+    assert!(peak < u64::from(SMALL_MEMORY) << 20, "{peak} bytes");
+
+    let mut refused = 0;
+    for stream in &mut connections {
+        let mut response = [0; 512];
+        let Ok(length) = stream.try_read(&mut response) else {
+            continue;
+        };
+        let response = String::from_utf8_lossy(&response[..length]);
+        if !response.is_empty() {
+            assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+            assert!(response.contains("\r\nretry-after: "), "{response}");
+            refused += 1;
+        }
+    }
+    assert!(refused > 0, "no refusal was read");
+    let metrics = instance.metrics().await;
+    let count = metric(
+        &metrics,
+        "cowslipcross_refused_connections{from=\"caller\"}",
+    );
+    assert!(count >= f64::from(refused), "{count} of {refused}");
+
+    drop(connections);
+    sleep(READ_TIME).await;
+    let after = instance.send(lookup_request("after", 7)).await;
+    assert_eq!(after.expect("a response").status, StatusCode::OK);
+}
+
+/// Guards against requests in progress that no budget counts.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_in_progress_count_in_the_memory_budget() {
+    let deployment = Deployment::start(1, 1, 4 * CONCURRENT_REQUESTS, SLOW_PROCESSING).await;
+    let instance = &deployment.instances[0];
+    let held = "cowslipcross_body_bytes{what=\"held\"}";
+    let before = metric(&instance.metrics().await, held);
+    let during = async {
+        sleep(SLOW_PROCESSING / 2).await;
+        metric(&instance.metrics().await, held)
+    };
+    let sends = (0..CONCURRENT_REQUESTS).map(|number| {
+        let request = lookup_request(&format!("slow{number}"), 7);
+        instance.send(request)
+    });
+    let (responses, during) = tokio::join!(join_all(sends), during);
+    for response in responses {
+        assert_eq!(response.expect("a response").status, StatusCode::OK);
+    }
+    let expected = f64::from(CONCURRENT_REQUESTS) * (REQUEST_BYTES + CONNECTION_BYTES);
+    assert!(
+        during >= before + expected,
+        "{during} bytes, {before} before"
+    );
+    sleep(READ_TIME).await;
+    let after = metric(&instance.metrics().await, held);
+    // The connections to the target are kept.
+    let kept = f64::from(CONCURRENT_REQUESTS) * CONNECTION_BYTES;
+    assert!(after <= before + kept, "{after} bytes, {before} before");
+}
+
+/// Returns the value of a metric; panics if the page lacks it.
+fn metric(page: &str, name: &str) -> f64 {
+    let value = page.lines().find_map(|line| line.strip_prefix(name));
+    let value = value.and_then(|text| text.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("no {name}"))
+}
--- a/crates/cowslipcross/tests/instance/deployment.rs
+++ b/crates/cowslipcross/tests/instance/deployment.rs
@@ -98,11 +98,16 @@
 impl Instance {
     /// Starts the program with a settings file and a log file of its own.
     pub fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_with(name, store, "")
+    }
+
+    /// Like [`Self::start`], with further settings in lines of TOML.
+    pub fn start_with(name: &str, store: SocketAddr, settings: &str) -> Self {
         let [callers, readiness, operators, heartbeats] =
             [(); 4].map(|()| ports::allocate_address());
         let text = format!(
             "name = \"{name}\"\ndata_centre = \"west\"\nstore = \"{store}\"\ntoken = \"{TOKEN}\"\n\
-             bootstrap = true\n\
+             bootstrap = true\n{settings}\
              [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\n\
              operators = \"{operators}\"\nheartbeats = \"{heartbeats}\"\n\
              [bounds]\ngrace = \"6s\"\nmax_hold = \"10000ms\"\nretry_slack = \"62\"\n"
@@ -224,6 +229,17 @@
         deployment
     }
 
+    /// Starts a deployment of one instance with this memory, in MiB.
+    pub async fn start_with_memory(memory: u32, processing_time: Duration) -> Self {
+        let store = FakeStore::start().await;
+        let mut deployment = Self::start_targets(store, (1, 2, processing_time)).await;
+        let settings = format!("memory = {memory}\n");
+        let instance = Instance::start_with("i0", deployment.store.address(), &settings);
+        deployment.instances.push(instance);
+        deployment.wait_until_ready().await;
+        deployment
+    }
+
     /// Like [`Self::start`], with links between each instance and each target that can be cut.
     pub async fn start_with_links(
         instances: usize,
--- a/crates/decide/src/memory_budget.rs
+++ b/crates/decide/src/memory_budget.rs
@@ -1,7 +1,8 @@
-//! Bound on the memory that the bodies of messages take in the whole process, whoever has sent them.
+//! Bound on the memory that messages take in the whole process, whoever sends them: bodies, the read buffers of
+//! connections, and the state of requests in progress.
 //!
 //! What is counted is the memory that is held, not the bytes that have arrived. A part of the budget is left to
-//! small bodies, so that a few large ones cannot keep everything else out.
+//! small bodies, so that neither a few large ones nor the connections of callers can keep everything else out.
 
 use std::sync::{
     Arc,
@@ -10,40 +11,54 @@
 
 /// Largest body that may use the whole budget, in bytes: 64 KiB.
 const SMALL_BODY_BYTES: usize = 64 << 10;
-/// Part of the budget that larger bodies of callers may use together with all others; less than
+/// Part of the budget that larger bodies of callers may use together with all else; less than
 /// [`LARGE_BODY_RATIO`], so that there is room for the responses to requests that were let in.
 const LARGE_REQUEST_RATIO: f64 = 0.5;
-/// Part of the budget that other large bodies may use together with all others.
+/// Part of the budget that other large bodies may use together with all else.
 const LARGE_BODY_RATIO: f64 = 0.75;
+/// Part of the budget that connections of callers may use together with all else.
+const CALLER_CONNECTION_RATIO: f64 = 0.75;
 
-/// Kind of the connection on which a body arrives.
+/// Kind of a connection, by its peer and what is sent on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ConnectionKind {
-    /// Request of a caller.
+    /// Requests of a caller.
     Caller,
-    /// Response of a target to a request.
+    /// Responses of a target to requests.
     Target,
-    /// Response of a target to a command.
+    /// Responses of a target to commands.
     Command,
-    /// Response of the store.
+    /// Responses of the store.
     Store,
-    /// Message of another instance.
+    /// Messages of another instance.
     Instance,
 }
 
-/// Memory for bodies, in use and in all.
+/// What memory is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    Body,
+    Connection,
+}
+
+/// Memory for messages, in use and in all.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit: usize,
     held: AtomicUsize,
     peak: AtomicUsize,
-    refused: [AtomicU64; ConnectionKind::ALL.len()],
+    refused_bodies: RefusalCounts,
+    refused_connections: RefusalCounts,
 }
 
-/// Memory that one body holds; given back on drop.
+/// Numbers of refusals, by the kind of the connection.
+type RefusalCounts = [AtomicU64; ConnectionKind::ALL.len()];
+
+/// Memory that one body, request or connection holds; given back on drop.
 #[derive(Debug)]
 pub struct MemoryRoom {
     budget: Arc<MemoryBudget>,
+    purpose: Purpose,
     kind: ConnectionKind,
     bytes: usize,
 }
@@ -77,61 +92,96 @@
             limit,
             held: AtomicUsize::new(0),
             peak: AtomicUsize::new(0),
-            refused: Default::default(),
+            refused_bodies: Default::default(),
+            refused_connections: Default::default(),
         })
     }
 
-    /// Returns the room of a body that holds nothing yet.
+    /// Returns the room of a body that holds nothing yet, or of a request in progress.
     pub fn open_room(self: &Arc<Self>, kind: ConnectionKind) -> MemoryRoom {
+        self.room_for(Purpose::Body, kind)
+    }
+
+    /// Returns the room of a connection that holds nothing yet.
+    pub fn open_connection_room(self: &Arc<Self>, kind: ConnectionKind) -> MemoryRoom {
+        self.room_for(Purpose::Connection, kind)
+    }
+
+    fn room_for(self: &Arc<Self>, purpose: Purpose, kind: ConnectionKind) -> MemoryRoom {
         MemoryRoom {
             budget: self.clone(),
+            purpose,
             kind,
             bytes: 0,
         }
     }
 
-    /// Returns the bytes that all bodies may hold.
+    /// Returns the bytes that may be held in all.
     pub fn limit(&self) -> usize {
         self.limit
     }
 
-    /// Returns the bytes that all bodies hold now.
+    /// Returns the bytes that are held now.
     pub fn held(&self) -> usize {
         self.held.load(Ordering::Relaxed)
     }
 
-    /// Returns the most bytes that all bodies have held at a time.
+    /// Returns the most bytes that were held at a time.
     pub fn peak(&self) -> usize {
         self.peak.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of bodies of a kind that were given up for want of room.
-    pub fn refused(&self, kind: ConnectionKind) -> u64 {
-        self.refused[kind as usize].load(Ordering::Relaxed)
+    /// Returns the number of bodies and requests of a kind that were given up for want of room.
+    pub fn refused_bodies(&self, kind: ConnectionKind) -> u64 {
+        self.refused_bodies[kind as usize].load(Ordering::Relaxed)
     }
 
-    /// Returns how much all bodies together may hold for one of this kind to have this size.
-    fn allowance(&self, kind: ConnectionKind, bytes: usize) -> usize {
-        let ratio = match kind {
-            _ if bytes <= SMALL_BODY_BYTES => 1.0,
-            ConnectionKind::Caller => LARGE_REQUEST_RATIO,
-            _ => LARGE_BODY_RATIO,
+    /// Returns the number of connections of a kind that were closed for want of room.
+    pub fn refused_connections(&self, kind: ConnectionKind) -> u64 {
+        self.refused_connections[kind as usize].load(Ordering::Relaxed)
+    }
+
+    /// Returns how much may be held in all for one body or connection to hold so many bytes.
+    fn allowance(&self, purpose: Purpose, kind: ConnectionKind, bytes: usize) -> usize {
+        let ratio = match (purpose, kind) {
+            (Purpose::Connection, ConnectionKind::Caller) => CALLER_CONNECTION_RATIO,
+            (Purpose::Connection, _) => 1.0,
+            (Purpose::Body, _) if bytes <= SMALL_BODY_BYTES => 1.0,
+            (Purpose::Body, ConnectionKind::Caller) => LARGE_REQUEST_RATIO,
+            (Purpose::Body, _) => LARGE_BODY_RATIO,
         };
         (self.limit as f64 * ratio) as usize
     }
+
+    fn count_refusal(&self, purpose: Purpose, kind: ConnectionKind) {
+        let counts = match purpose {
+            Purpose::Body => &self.refused_bodies,
+            Purpose::Connection => &self.refused_connections,
+        };
+        counts[kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 impl MemoryRoom {
-    /// Grows to so many bytes; returns `false`, and counts the body as refused, if there is no room for them.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        let allowance = self.budget.allowance(self.kind, bytes);
+    /// Returns the bytes that are held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Changes to so many bytes; returns `false`, and counts a refusal, if there is no room for them. Less than
+    /// before always fits.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        let allowance = match bytes > self.bytes {
+            true => self.budget.allowance(self.purpose, self.kind, bytes),
+            false => usize::MAX,
+        };
         let resized = |held: usize| {
             let total = held - self.bytes + bytes;
             (total <= allowance).then_some(total)
         };
         let held = &self.budget.held;
         let Ok(previous) = held.fetch_update(Ordering::Relaxed, Ordering::Relaxed, resized) else {
-            self.budget.refused[self.kind as usize].fetch_add(1, Ordering::Relaxed);
+            self.budget.count_refusal(self.purpose, self.kind);
             return false;
         };
         let total = previous - self.bytes + bytes;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -66,7 +66,7 @@
     data_type: DataType::Decimal,
     unit: "MiB",
     default: Some("260"),
-    description: "Memory of the instance; half of it may be held by bodies of messages.",
+    description: "Memory of the instance; three quarters of it may be held by messages and connections.",
 };
 
 const BOOTSTRAP_FIELD: Field = Field {
