fix(platform): a table of the store takes a bounded part of the memory

Callers saw: nothing yet. Cause: the bound on a response was taken for one on the table; decoded rows of all pages were kept until the last one had come.

--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -13,10 +13,7 @@
             target_updates::TargetUpdateMessage,
         },
     },
-    cowslip_adapter::{
-        store::{RowSet, TARGET_TABLE},
-        targets::TargetReport,
-    },
+    cowslip_adapter::targets::TargetTable,
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep_until},
 };
@@ -34,13 +31,15 @@
         wait_until_due(&context).await;
         let sent_at = Instant::now();
         let store = &context.target_store;
-        let read =
-            store_calls::timed(&context, |timeout| store.read_table(TARGET_TABLE, timeout)).await;
+        let known = context.targets.borrow().clone();
+        let is_known = |id: &str| known.get(id).is_some();
+        let read = store_calls::timed(&context, |timeout| store.read_targets(is_known, timeout));
+        let read = read.await;
         health.record_call(&context, "targets", read.as_ref().err());
         match read {
-            Ok(rows) => {
-                store_era::observe(&context, rows.store_version.era);
-                apply_rows(&context, &rows, sent_at);
+            Ok(table) => {
+                store_era::observe(&context, table.store_version.era);
+                apply_table(&context, table, sent_at);
             }
             Err(_) => health.wait_to_retry(&context).await,
         }
@@ -70,25 +69,23 @@
     }
 }
 
-/// Applies the rows of a read that was sent at `sent_at`.
-fn apply_rows(context: &Context, rows: &RowSet, sent_at: Instant) {
-    let mut reports = Vec::with_capacity(rows.rows.len());
-    let mut unreadable = rows.unreadable_rows;
-    for row in &rows.rows {
-        match TargetReport::try_from(row) {
-            Ok(report) => reports.push(report),
-            Err(error) => {
-                unreadable += 1;
-                context.record_event(events::TARGET_REPORT_INVALID, error.to_string());
-            }
-        }
+/// Applies a read of the table of targets that was sent at `sent_at`.
+fn apply_table(context: &Context, table: TargetTable, sent_at: Instant) {
+    let TargetTable {
+        reports,
+        unreadable,
+        errors,
+        store_version,
+    } = table;
+    for error in errors {
+        context.record_event(events::TARGET_REPORT_INVALID, error.to_string());
     }
     context
         .metrics
         .set_target_reports(reports.len(), unreadable);
     let previous = context.targets.borrow().clone();
     let now = Instant::now();
-    let (next, changes) = previous.with_reports(reports, rows.store_version, (sent_at, now));
+    let (next, changes) = previous.with_reports(reports, store_version, (sent_at, now));
     if !changes.is_empty() {
         let mut updates = context.target_updates.borrow_mut();
         updates.add_update(
