fix(views): a target whose report comes back with a restored store counts as cold until reports were read for 2.3 s

Cause: a target that had ended started anew while a backup showed its last report, as of a warm one; no connection broke that would have told. The report of an incarnation that was unknown just before a restoration now counts like a broken connection: each target writes its report again within 2.3 s, so that a read without a gap of that length proves it.

--- a/crates/cowslipcross/src/views/target_snapshot_tests.rs
+++ b/crates/cowslipcross/src/views/target_snapshot_tests.rs
@@ -168,3 +168,26 @@
     let gone = read(&same, vec![other], (2, 43), at(3000));
     assert!(same.get("a").is_some() && gone.get("a").is_none());
 }
+
+#[test]
+fn reports_that_come_back_with_a_restored_store_are_told_from_those_that_were_there() {
+    let start = Instant::now();
+    let known = read(
+        &TargetSnapshot::empty(),
+        vec![report(2, false)],
+        (0, 5),
+        start,
+    );
+    assert!(known.returned_since(&TargetSnapshot::empty()).is_empty());
+    let gone = read(&known, vec![], (0, 6), start);
+    let written = read(&gone, vec![report(3, false)], (0, 7), start);
+    assert!(written.returned_since(&gone).is_empty());
+    let same = read(&known, vec![report(2, false)], (1, 5), start);
+    assert!(same.returned_since(&known).is_empty());
+    for earlier in [&gone, &written] {
+        let restored = read(earlier, vec![report(2, false)], (1, 5), start);
+        let returned = restored.returned_since(earlier);
+        assert_eq!(returned.len(), 1);
+        assert_eq!(returned[0].incarnation, 2);
+    }
+}
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -120,6 +120,10 @@
         next.all()
             .map(|it| (it.target_incarnation(), it.report.address)),
     );
+    let now = Instant::now();
+    for target in next.returned_since(previous) {
+        context.restarts.borrow_mut().record_return(&target, now);
+    }
     let mut connections = context.connections.borrow_mut();
     connections.retain(|id, _| next.get(id).is_some());
     drop(connections);
--- a/crates/cowslipcross/tests/instance/limited_targets.rs
+++ b/crates/cowslipcross/tests/instance/limited_targets.rs
@@ -18,6 +18,11 @@
 const SPAN: Duration = Duration::from_secs(4);
 /// Most arrivals in a span: one and a half times the limit, and 5 requests.
 const MAX_ARRIVALS: usize = 17;
+/// Time in which all instances read the reports of targets, or learn that one is gone.
+const READ_TIME: Duration = Duration::from_millis(1800);
+/// Span in which arrivals at a target that may be cold are counted, and the most of them.
+const COLD_SPAN: Duration = Duration::from_secs(1);
+const MAX_COLD_ARRIVALS: usize = 9;
 /// Time for which the cold target stays cold.
 const COLD_TIME: Duration = Duration::from_secs(60);
 /// Callers at each instance, and the pause of each between two requests.
@@ -140,3 +145,42 @@
         assert!(!metrics.contains(uncounted), "{metrics}");
     }
 }
+
+/// Guards against the former rate for a target that starts anew, cold, while a restored store shows its old report.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_report_that_comes_with_a_restored_store_makes_no_target_warm() {
+    let deployment = Deployment::start(2, 1, 2, PROCESSING_TIME).await;
+    for target in &deployment.crews {
+        target.remove_report(&deployment.store);
+    }
+    let options = TargetOptions {
+        id: "back".into(),
+        service: "crews".into(),
+        sharded: false,
+        ..TargetOptions::default()
+    };
+    let target = FakeTarget::start(options).await;
+    target.publish_report(&deployment.store, "ready");
+    sleep(READ_TIME).await;
+    let backup = deployment.store.back_up();
+    target.remove_report(&deployment.store);
+    sleep(READ_TIME).await;
+    deployment.store.restore(&backup);
+    let restored_at = Instant::now();
+    press(&deployment, &[0, 1], READ_TIME).await;
+    let arrivals = target.peak_arrivals(restored_at, COLD_SPAN);
+    assert!(
+        arrivals > 0 && arrivals <= MAX_COLD_ARRIVALS,
+        "{arrivals} requests in {COLD_SPAN:?}"
+    );
+
+    // Once reports have been read for long enough, this one counts as written again.
+    sleep(CONTACT).await;
+    let later = Instant::now();
+    press(&deployment, &[0, 1], READ_TIME).await;
+    let arrivals = target.peak_arrivals(later, COLD_SPAN);
+    assert!(
+        arrivals > MAX_COLD_ARRIVALS,
+        "{arrivals} requests in {COLD_SPAN:?}"
+    );
+}
--- a/crates/decide/src/restarts.rs
+++ b/crates/decide/src/restarts.rs
@@ -3,7 +3,8 @@
 //! A target that has ended and started anew is cold, while its last report still says that it is warm. It
 //! would get the rate of before until its new report has been read. So from the moment at which a
 //! connection to it broke, a target counts as cold until something proves otherwise: the response to a
-//! request that it was running at that moment, or a read of the reports that would contain a new one.
+//! request that it was running at that moment, or a read of the reports that would contain a new one. The
+//! same holds from the moment at which a report came back with a restored store.
 //!
 //! Faults of a path between one instance and targets are not recorded here, see [`reach`](crate::reach).
 
@@ -21,11 +22,11 @@
 /// it later than another one tells of the break.
 const MIN_PROOF_DELAY: Duration = Duration::from_millis(10);
 
-/// Targets to which a connection broke, of which it is not known yet whether they have restarted.
+/// Targets of which it is not known whether they have restarted since their reports were written.
 #[derive(Debug, Default)]
 pub struct Restarts {
-    /// When a connection to the target broke last.
-    broken: BTreeMap<TargetIncarnation, Instant>,
+    /// When a connection to the target broke last, or when its report came back.
+    doubted: BTreeMap<TargetIncarnation, Instant>,
     reads: Option<ReadSpan>,
 }
 
@@ -39,14 +40,19 @@
 impl Restarts {
     /// Records that a target closed, reset or refused a connection, and that its path is not at fault.
     pub fn record_break(&mut self, target: &TargetIncarnation, now: Instant) {
-        self.broken.insert(target.clone(), now);
+        self.doubted.insert(target.clone(), now);
+    }
+
+    /// Records that the report of a target that was gone has come back with a restored store.
+    pub fn record_return(&mut self, target: &TargetIncarnation, now: Instant) {
+        self.doubted.insert(target.clone(), now);
     }
 
     /// Records that a target has answered a request that was sent to it at `sent_at`.
     pub fn record_response(&mut self, target: &TargetIncarnation, sent_at: Instant, now: Instant) {
-        let ran_through = |broken: &Instant| sent_at < *broken && now >= *broken + MIN_PROOF_DELAY;
-        if self.broken.get(target).is_some_and(ran_through) {
-            self.broken.remove(target);
+        let ran_through = |since: &Instant| sent_at < *since && now >= *since + MIN_PROOF_DELAY;
+        if self.doubted.get(target).is_some_and(ran_through) {
+            self.doubted.remove(target);
         }
     }
 
@@ -64,14 +70,14 @@
             },
         };
         self.reads = Some(span);
-        self.broken.retain(|_, broken| {
-            let from = span.first.max(*broken);
+        self.doubted.retain(|_, since| {
+            let from = span.first.max(*since);
             span.last < from + REPORT_TIME
         });
     }
 
     /// Returns whether a target may be cold although its last report does not say so.
     pub fn may_be_cold(&self, target: &TargetIncarnation) -> bool {
-        self.broken.contains_key(target)
+        self.doubted.contains_key(target)
     }
 }
