fix(serve): a body that its reader has taken does not count as buffered

Part of the count of read buffers: bytes of a body were summed up as if hyper kept them, so that a connection with a usual body of 24 kB counted for twice what it holds until its next request. Now only a head is summed up; while a body arrives the space that is offered counts. New test of the stream; the tests of memory pass.

--- a/crates/cowslipcross/src/serve/caller_stream.rs
+++ b/crates/cowslipcross/src/serve/caller_stream.rs
@@ -80,8 +80,12 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         // A request that is whole may be running, so that its connection is kept whatever it takes.
-        let is_whole = self.usage.get() == Usage::HandlesRequest;
-        self.stream.enforce(!is_whole);
+        let usage = self.usage.get();
+        self.stream.enforce(usage != Usage::HandlesRequest);
+        // A body is taken out of the buffer piece by piece, only a head is kept there.
+        if matches!(usage, Usage::ReadsBody | Usage::HandlesRequest) {
+            self.stream.mark_taken();
+        }
         let read = Pin::new(&mut self.stream).poll_read(task, buffer);
         if let Poll::Ready(Err(error)) = &read
             && error.kind() == io::ErrorKind::OutOfMemory
