--- a/crates/cowslipcross/src/metrics.rs
+++ b/crates/cowslipcross/src/metrics.rs
@@ -141,12 +141,12 @@
             ),
             body_bytes: registry.gauge_with_labels(
                 "body_bytes",
-                "Memory of bodies of messages: held now, the most so far, and the limit.",
+                "Memory of bodies, connections and requests in progress: held now, the most so far, and the limit.",
                 &["what"],
             ),
             refused_connections: registry.gauge_with_labels(
                 "refused_connections",
-                "connections that were closed for want of memory since the start, by their peer",
+                "Connections that were closed for want of memory since the start.",
                 &["from"],
             ),
             refused_bodies: registry.gauge_with_labels(
@@ -304,7 +304,7 @@
         self.registry.render()
     }
 
-    /// Sets the memory of messages and the number of those that had no room.
+    /// Sets the memory of messages and the number of those for which there was none.
     fn set_memory(&self, budget: &MemoryBudget) {
         let bytes = [
             ("held", budget.held()),
--- a/crates/cowslipcross/src/serve/caller_response.rs
+++ b/crates/cowslipcross/src/serve/caller_response.rs
@@ -24,7 +24,7 @@
 const NO_CONFIG_WAIT: Duration = Duration::from_millis(300);
 
 /// Time after which a caller should come back for whose request there was no memory; most are held for less.
-const NO_ROOM_WAIT: Duration = Duration::from_millis(500);
+const NO_MEMORY_WAIT: Duration = Duration::from_millis(500);
 
 /// Time after which a caller of an instance that stops should come back: other instances serve it.
 pub const STOPPING_WAIT: Duration = Duration::from_millis(100);
@@ -91,7 +91,9 @@
     let mut response = text_response(bad.status(), bad.message());
     let wait = match bad {
         BadRequest::NoConfig => Some(NO_CONFIG_WAIT),
-        BadRequest::NoRoom => Some(NO_ROOM_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER))),
+        BadRequest::NoMemory => {
+            Some(NO_MEMORY_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER)))
+        }
         BadRequest::Stopping => Some(STOPPING_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER))),
         BadRequest::OverAllotment(wait) => {
             Some(wait.mul_f64(rand::random_range(RETRY_AFTER_JITTER)))
@@ -107,9 +109,9 @@
 
 /// Returns a whole message that says that there is no memory for a request, for a connection on which no response can
 /// be sent otherwise.
-pub fn no_room_message() -> Vec<u8> {
-    let bad = BadRequest::NoRoom;
-    let wait = NO_ROOM_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER));
+pub fn no_memory_message() -> Vec<u8> {
+    let bad = BadRequest::NoMemory;
+    let wait = NO_MEMORY_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER));
     let wait = headers::format_retry_after(wait);
     let text = bad.message();
     let message = format!(
--- a/crates/cowslipcross/src/serve/caller_stream.rs
+++ b/crates/cowslipcross/src/serve/caller_stream.rs
@@ -55,7 +55,7 @@
     fn refuse(&self) {
         self.usage.set(Usage::Refused);
         if !self.is_sending {
-            self.stream.try_write(&caller_response::no_room_message());
+            self.stream.try_write(&caller_response::no_memory_message());
         }
     }
 
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -15,7 +15,7 @@
         interim_responses::InterimResponses,
     },
     cowslip_decide::{
-        memory_budget::{ConnectionKind, MemoryBudget, MemoryRoom},
+        memory_budget::{ConnectionKind, MemoryBudget, MemoryReservation},
         names::Name,
         unsettled::{ConnectionFate, RequestIdHash},
     },
@@ -347,7 +347,14 @@
         target.load.set(Some((load, Instant::now())));
     }
     if metadata.not_executed {
-        return receive_refusal(budget.open_room(kind), active, response, metadata, request).await;
+        return receive_refusal(
+            budget.body_reservation(kind),
+            active,
+            response,
+            metadata,
+            request,
+        )
+        .await;
     }
     let is_signed = metadata.signed || !response.status().is_success();
     let fate = match response.status().is_server_error() || !is_signed {
@@ -356,10 +363,10 @@
     };
     let (head, body) = response.into_parts();
     // The caller of this function sets the time limit.
-    let read = body_reader::read_body(body, budget.open_room(kind), MAX_RESPONSE_BYTES);
+    let read = body_reader::read_body(body, budget.body_reservation(kind), MAX_RESPONSE_BYTES);
     let body = match read.await {
         Ok(body) => body,
-        Err(BodyError::NoRoom) => return ExchangeOutcome::Broken("no memory for the response"),
+        Err(BodyError::NoMemory) => return ExchangeOutcome::Broken("no memory for the response"),
         Err(_) => return ExchangeOutcome::Broken("response truncated or too long"),
     };
     active.finish(&metadata, fate);
@@ -375,7 +382,7 @@
 
 /// Reads the body of a refusal; without it, the connection is not used again.
 async fn receive_refusal(
-    room: MemoryRoom,
+    reservation: MemoryReservation,
     mut active: ActiveConnection<'_>,
     response: Response<Incoming>,
     metadata: ResponseMetadata,
@@ -385,7 +392,7 @@
     let fate = active.record_unsettled(request, has_id);
     let (head, body) = response.into_parts();
     let usage = active.connection.as_ref().map(|it| it.usage);
-    let read = body_reader::read_body(body, room, MAX_RESPONSE_BYTES);
+    let read = body_reader::read_body(body, reservation, MAX_RESPONSE_BYTES);
     let body = timeout(REFUSAL_BODY_TIMEOUT, read).await;
     let body = body.ok().and_then(Result::ok);
     if body.is_some() {
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -75,11 +75,12 @@
     // The connection also works without these options.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let Some(room) = metered_stream::take_room(&context.memory_budget, ConnectionKind::Instance)
+    let Some(reservation) =
+        metered_stream::reserve_connection(&context.memory_budget, ConnectionKind::Instance)
     else {
         return;
     };
-    let stream = MeteredStream::new(stream, room, MAX_READ_BUFFER_BYTES);
+    let stream = MeteredStream::new(stream, reservation, MAX_READ_BUFFER_BYTES);
     // Boxed like the handling of callers' requests, as hyper keeps room for it on each connection.
     let service = service_fn(|request| Box::pin(handle_request(context.clone(), request, from)));
     // The instance that asks sees an error of the connection, too.
@@ -183,8 +184,14 @@
     };
     let config = context.config.borrow().clone();
     let max_bytes = config.map_or(0, |it| it.limits.body_bytes);
-    let room = context.memory_budget.open_room(ConnectionKind::Instance);
-    let body = timeout_at(deadline, body_reader::read_body(body, room, max_bytes)).await;
+    let reservation = context
+        .memory_budget
+        .body_reservation(ConnectionKind::Instance);
+    let body = timeout_at(
+        deadline,
+        body_reader::read_body(body, reservation, max_bytes),
+    )
+    .await;
     let Ok(Ok(body)) = body else {
         return denied();
     };
--- a/crates/cowslipcross/src/serve/request.rs
+++ b/crates/cowslipcross/src/serve/request.rs
@@ -17,7 +17,7 @@
         organisations::Organisation,
     },
     cowslip_decide::{
-        memory_budget::{ConnectionKind, MemoryRoom},
+        memory_budget::{ConnectionKind, MemoryReservation},
         names::Name,
     },
     http::{HeaderMap, HeaderValue, Method, StatusCode, header, request::Parts},
@@ -57,7 +57,7 @@
     /// Time by which the caller needs the response.
     pub deadline: Instant,
     /// Memory for the steps of the request.
-    _room: MemoryRoom,
+    _reservation: MemoryReservation,
 }
 
 impl CallerRequest {
@@ -95,7 +95,7 @@
     /// The body exceeds the size limit.
     BodyTooLong,
     /// There is no memory for the request now.
-    NoRoom,
+    NoMemory,
     /// The request became complete, or is still incomplete, too late before this instance exits.
     Stopping,
     /// The connection failed before the end of the body.
@@ -108,7 +108,7 @@
     /// Returns the status code of the response.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::NoRoom | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::NoMemory | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverAllotment(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -131,7 +131,7 @@
             Self::InvalidKey(_) => "key missing or no number from 0 to 65535",
             Self::InvalidDeadline => "deadline is no number of milliseconds",
             Self::BodyTooLong => "body too long",
-            Self::NoRoom => "no memory for the request now",
+            Self::NoMemory => "no memory for the request now",
             Self::Stopping => "instance stops",
             Self::BodyTruncated => "body ended early",
             Self::BodyTimeout => "body not whole in time",
@@ -164,7 +164,7 @@
         return Err(BadRequest::InvalidKey(String::new()));
     }
     let body = read_body(context, body, config.limits.body_bytes, deadline).await?;
-    let room = take_room(context)?;
+    let reservation = reserve_memory(context)?;
     let path = parts.uri.path_and_query();
     let path = path.map_or_else(|| "/".to_owned(), ToString::to_string);
     let key = key.filter(|_| is_sharded);
@@ -197,7 +197,7 @@
         arrived,
         deadline,
         route,
-        _room: room,
+        _reservation: reservation,
     })
 }
 
@@ -253,8 +253,13 @@
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, BadRequest> {
-    let room = context.memory_budget.open_room(ConnectionKind::Caller);
-    let read = timeout_at(deadline, body_reader::read_body(&mut body, room, max_bytes));
+    let reservation = context
+        .memory_budget
+        .body_reservation(ConnectionKind::Caller);
+    let read = timeout_at(
+        deadline,
+        body_reader::read_body(&mut body, reservation, max_bytes),
+    );
     let read = tokio::select! {
         // Both may be ready: a body that is complete needs no reader for the rest of it.
         biased;
@@ -268,18 +273,20 @@
         Ok(Ok(_)) if !late_requests::is_taken(context, deadline) => Err(BadRequest::Stopping),
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLong)) => Err(BadRequest::BodyTooLong),
-        Ok(Err(BodyError::NoRoom)) => Err(BadRequest::NoRoom),
+        Ok(Err(BodyError::NoMemory)) => Err(BadRequest::NoMemory),
         Ok(Err(BodyError::Truncated)) => Err(BadRequest::BodyTruncated),
         Err(_) => Err(BadRequest::BodyTimeout),
     }
 }
 
 /// Takes the memory for the steps of a request that is whole.
-fn take_room(context: &Context) -> Result<MemoryRoom, BadRequest> {
-    let mut room = context.memory_budget.open_room(ConnectionKind::Caller);
-    match room.resize(REQUEST_BYTES) {
-        true => Ok(room),
-        false => Err(BadRequest::NoRoom),
+fn reserve_memory(context: &Context) -> Result<MemoryReservation, BadRequest> {
+    let mut reservation = context
+        .memory_budget
+        .body_reservation(ConnectionKind::Caller);
+    match reservation.resize(REQUEST_BYTES) {
+        true => Ok(reservation),
+        false => Err(BadRequest::NoMemory),
     }
 }
 
--- a/crates/cowslipcross/src/serve/server.rs
+++ b/crates/cowslipcross/src/serve/server.rs
@@ -42,7 +42,7 @@
 /// descriptor was free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Detail of the event of a connection for which there is no memory.
-const NO_ROOM: &str = "no memory for it";
+const NO_MEMORY: &str = "no memory for it";
 
 /// Handle to the state of all callers' connections; clones share the state.
 #[derive(Clone, Default)]
@@ -105,11 +105,12 @@
         context.record_event(events::CONNECTION_REFUSED, error.to_string());
         return;
     }
-    let Some(room) = metered_stream::take_room(&context.memory_budget, ConnectionKind::Caller)
+    let Some(reservation) =
+        metered_stream::reserve_connection(&context.memory_budget, ConnectionKind::Caller)
     else {
         // A caller that does not read it loses nothing but the reason for the end of the connection.
-        let _ = stream.try_write(&caller_response::no_room_message());
-        context.record_event(events::CONNECTION_REFUSED, NO_ROOM.into());
+        let _ = stream.try_write(&caller_response::no_memory_message());
+        context.record_event(events::CONNECTION_REFUSED, NO_MEMORY.into());
         return;
     };
     open_connections
@@ -134,7 +135,7 @@
         })
     });
     let max_buffer = limits.header_bytes.max(MIN_READ_BUFFER_BYTES);
-    let stream = MeteredStream::new(stream, room, max_buffer);
+    let stream = MeteredStream::new(stream, reservation, max_buffer);
     let stream = CallerStream::new(stream, usage.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -158,7 +159,7 @@
     })
     .await;
     if usage.get() == Usage::Refused {
-        context.record_event(events::CONNECTION_REFUSED, NO_ROOM.into());
+        context.record_event(events::CONNECTION_REFUSED, NO_MEMORY.into());
     }
     open_connections
         .0
--- a/crates/cowslipcross/src/serve/target_connections.rs
+++ b/crates/cowslipcross/src/serve/target_connections.rs
@@ -11,7 +11,7 @@
     },
     cowslip_decide::{
         limits::RateLimit,
-        memory_budget::{ConnectionKind, MemoryBudget, MemoryRoom},
+        memory_budget::{ConnectionKind, MemoryBudget, MemoryReservation},
         names::Name,
         service_time::ServiceTime,
         unsettled::{RequestIdHash, UnsettledRequests},
@@ -243,11 +243,11 @@
         if self.open_count.get() >= max_connections && !self.close_oldest_idle() {
             return Err(ConnectError::LimitReached);
         }
-        let room = metered_stream::take_room(&self.budget, self.kind);
-        let room = room.ok_or(ConnectError::LimitReached)?;
+        let reservation = metered_stream::reserve_connection(&self.budget, self.kind);
+        let reservation = reservation.ok_or(ConnectError::LimitReached)?;
         // Callers may leave meanwhile, and then drop this.
         let counted = CounterGuard::new(&self.open_count);
-        let opened = timeout(CONNECT_TIMEOUT, connect(self.address, room)).await;
+        let opened = timeout(CONNECT_TIMEOUT, connect(self.address, reservation)).await;
         match opened {
             Ok(Ok(connection)) if connection.is_reset().await => Err(ConnectError::Reset),
             Ok(Ok(mut connection)) => {
@@ -339,11 +339,11 @@
     }
 }
 
-async fn connect(address: SocketAddr, room: MemoryRoom) -> io::Result<Connection> {
+async fn connect(address: SocketAddr, reservation: MemoryReservation) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let stream = MeteredStream::new(stream, room, MAX_READ_BUFFER_BYTES);
+    let stream = MeteredStream::new(stream, reservation, MAX_READ_BUFFER_BYTES);
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/crates/cowslipcross/src/serve/target_connections_tests.rs
+++ b/crates/cowslipcross/src/serve/target_connections_tests.rs
@@ -74,7 +74,7 @@
 /// Guards against a request that fails because the only connections that the target accepts from this instance
 /// have carried an answer to it.
 #[tokio::test]
-async fn a_connection_on_which_a_request_was_refused_makes_room_for_another_one() {
+async fn a_connection_on_which_a_request_was_refused_makes_reservation_for_another_one() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let connections = connections_to(listener.local_addr().expect("an address"));
     let (refused, other) = (RequestIdHash(1), RequestIdHash(2));
--- a/crates/cowslipcross/tests/instance/limited_targets.rs
+++ b/crates/cowslipcross/tests/instance/limited_targets.rs
@@ -161,16 +161,22 @@
     }
 }
 
-/// Guards against the former rate for a target that starts anew, cold, while a restored store shows its old report.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_report_that_comes_with_a_restored_store_makes_no_target_warm() {
-    let deployment = Deployment::start(2, 1, 2, PROCESSING_TIME).await;
+/// Replaces the targets of the unsharded service by one that is warm, and waits until all instances know it.
+async fn replace_crews_by_warm_target(deployment: &Deployment) -> FakeTarget {
     for target in &deployment.crews {
         target.remove_report(&deployment.store);
     }
     let target = FakeTarget::start(lone_target(1, Duration::ZERO)).await;
     target.publish_report(&deployment.store, "ready");
     sleep(READ_TIME).await;
+    target
+}
+
+/// Guards against the former rate for a target that starts anew, cold, while a restored store shows its old report.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_report_that_comes_with_a_restored_store_makes_no_target_warm() {
+    let deployment = Deployment::start(2, 1, 2, PROCESSING_TIME).await;
+    let target = replace_crews_by_warm_target(&deployment).await;
     let backup = deployment.store.back_up();
     target.remove_report(&deployment.store);
     sleep(READ_TIME).await;
@@ -200,12 +206,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_restarted_while_nobody_used_it_is_cold() {
     let deployment = Deployment::start(2, 1, 2, PROCESSING_TIME).await;
-    for target in &deployment.crews {
-        target.remove_report(&deployment.store);
-    }
-    let warm = FakeTarget::start(lone_target(1, Duration::ZERO)).await;
-    warm.publish_report(&deployment.store, "ready");
-    sleep(READ_TIME).await;
+    let warm = replace_crews_by_warm_target(&deployment).await;
     let served = press(&deployment, &[0, 1], COLD_SPAN).await;
     assert!(served.1 > 0, "{served:?}");
 
--- a/crates/decide/src/memory_budget.rs
+++ b/crates/decide/src/memory_budget.rs
@@ -56,7 +56,7 @@
 
 /// Memory that one body, request or connection holds; given back on drop.
 #[derive(Debug)]
-pub struct MemoryRoom {
+pub struct MemoryReservation {
     budget: Arc<MemoryBudget>,
     purpose: Purpose,
     kind: ConnectionKind,
@@ -97,18 +97,22 @@
         })
     }
 
-    /// Returns the room of a body that holds nothing yet, or of a request in progress.
-    pub fn open_room(self: &Arc<Self>, kind: ConnectionKind) -> MemoryRoom {
-        self.room_for(Purpose::Body, kind)
+    /// Returns a reservation of nothing yet for a body or a request in progress.
+    pub fn body_reservation(self: &Arc<Self>, kind: ConnectionKind) -> MemoryReservation {
+        self.reservation_for(Purpose::Body, kind)
     }
 
-    /// Returns the room of a connection that holds nothing yet.
-    pub fn open_connection_room(self: &Arc<Self>, kind: ConnectionKind) -> MemoryRoom {
-        self.room_for(Purpose::Connection, kind)
+    /// Returns a reservation of nothing yet for a connection.
+    pub fn connection_reservation(self: &Arc<Self>, kind: ConnectionKind) -> MemoryReservation {
+        self.reservation_for(Purpose::Connection, kind)
     }
 
-    fn room_for(self: &Arc<Self>, purpose: Purpose, kind: ConnectionKind) -> MemoryRoom {
-        MemoryRoom {
+    fn reservation_for(
+        self: &Arc<Self>,
+        purpose: Purpose,
+        kind: ConnectionKind,
+    ) -> MemoryReservation {
+        MemoryReservation {
             budget: self.clone(),
             purpose,
             kind,
@@ -131,12 +135,12 @@
         self.peak.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of bodies and requests of a kind that were given up for want of room.
+    /// Returns the number of bodies and requests of a kind that were given up for want of memory.
     pub fn refused_bodies(&self, kind: ConnectionKind) -> u64 {
         self.refused_bodies[kind as usize].load(Ordering::Relaxed)
     }
 
-    /// Returns the number of connections of a kind that were closed for want of room.
+    /// Returns the number of connections of a kind that were closed for want of memory.
     pub fn refused_connections(&self, kind: ConnectionKind) -> u64 {
         self.refused_connections[kind as usize].load(Ordering::Relaxed)
     }
@@ -162,7 +166,7 @@
     }
 }
 
-impl MemoryRoom {
+impl MemoryReservation {
     /// Returns the bytes that are held.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -191,7 +195,7 @@
     }
 }
 
-impl Drop for MemoryRoom {
+impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.budget.held.fetch_sub(self.bytes, Ordering::Relaxed);
     }
