--- a/crates/cowslipcross/benches/bodies.rs
+++ b/crates/cowslipcross/benches/bodies.rs
@@ -1,5 +1,5 @@
 //! Memory and processor time that bodies cost an instance; prints figures and asserts nothing. Arguments choose among
-//! `usual`, `large` and `tiny`.
+//! `usual`, `large`, `tiny` and `small`.
 
 #[allow(dead_code)]
 #[path = "../tests/instance/deployment.rs"]
@@ -19,7 +19,7 @@
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
     serde_json::json,
-    std::{env, fs, time::Duration},
+    std::{env, fs, io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -31,6 +31,13 @@
 const LOAD_TIME: Duration = Duration::from_secs(15);
 const LARGE_CALLERS: usize = 1000;
 const LARGE_BODY_BYTES: usize = 64 << 20;
+/// Memory of the smallest instances in MiB, callers with bodies there, their length, and connections with long heads
+/// that never become whole: as many in all as such an instance has descriptors for.
+const SMALL_MEMORY: u32 = 120;
+const SMALL_CALLERS: usize = 475;
+const SMALL_BODY_BYTES: usize = 8 << 20;
+const LONG_HEADS: usize = 2_400;
+const LONG_HEAD_BYTES: usize = 15_000;
 /// Bytes that a caller with a large body sends at a time.
 const PIECE_BYTES: usize = 256 << 10;
 /// Callers beside it, and the time between two of their requests.
@@ -40,6 +47,7 @@
 const USUAL_BODY_BYTES: usize = 24_000;
 const USUAL_REQUESTS: usize = 20_000;
 const USUAL_CONNECTIONS: usize = 4;
+const PROCESSING_TIME: Duration = Duration::from_millis(5);
 /// Time in which an instance reads rows of the store.
 const READ_TIME: Duration = Duration::from_millis(1500);
 /// Length of the kernel's unit of processor time.
@@ -60,11 +68,19 @@
         tiny_chunks(1).await;
         tiny_chunks(3).await;
     }
+    if is_chosen("small") {
+        small_instance().await;
+    }
 }
 
 /// Starts an instance without a bound on bodies but the usual one of 64 MiB; only `boards` serves requests.
 async fn start() -> Deployment {
-    let deployment = Deployment::start(1, 2, 8, Duration::from_millis(5)).await;
+    let deployment = Deployment::start(1, 2, 8, PROCESSING_TIME).await;
+    admit_large_bodies(&deployment).await;
+    deployment
+}
+
+async fn admit_large_bodies(deployment: &Deployment) {
     let config = build_config("r9", "boards");
     let config = config.replace(r#""MaxBodyBytes":2000"#, r#""MaxBodyBytes":67108864"#);
     deployment.store.put("op", "config", config.as_bytes());
@@ -72,7 +88,6 @@
         crew.remove_report(&deployment.store);
     }
     sleep(READ_TIME).await;
-    deployment
 }
 
 /// Sends lookups until the time is over; returns how many were answered, and how many were not.
@@ -116,7 +131,12 @@
     let senders = (0..LARGE_CALLERS).map(|caller| async move {
         for number in 0.. {
             // Ends with an error where the instance refuses the body and closes.
-            let _ = send_large(address, &format!("large{caller}-{number}")).await;
+            let _ = send_large(
+                address,
+                &format!("large{caller}-{number}"),
+                LARGE_BODY_BYTES,
+            )
+            .await;
             sleep(READ_TIME).await;
         }
     });
@@ -124,20 +144,57 @@
     beside("1,000 callers with bodies of 64 MiB", instance, load).await;
 }
 
-async fn send_large(address: std::net::SocketAddr, id: &str) -> std::io::Result<()> {
+async fn send_large(address: SocketAddr, id: &str, length: usize) -> io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
     let head = format!(
         "PUT /book/x HTTP/1.1\r\nhost: front.example\r\nx-request-id: {id}\r\nx-shard-key: 7\r\n\
-         x-deadline-ms: 3000\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n"
+         x-deadline-ms: 3000\r\ncontent-length: {length}\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
     let piece = vec![b'x'; PIECE_BYTES];
-    for _ in 0..LARGE_BODY_BYTES / PIECE_BYTES {
+    for _ in 0..length / PIECE_BYTES {
         stream.write_all(&piece).await?;
     }
     stream.read(&mut [0; 1024]).await.map(drop)
 }
 
+/// All descriptors of the smallest instance taken: some by callers with bodies, the rest by long heads that never
+/// become whole.
+async fn small_instance() {
+    let deployment = Deployment::start_with_memory(SMALL_MEMORY, PROCESSING_TIME).await;
+    admit_large_bodies(&deployment).await;
+    let target = ScriptedTarget::start(|request| request.answer().into()).await;
+    target.publish_report(&deployment.store, "scripted", "crews");
+    sleep(READ_TIME).await;
+    let instance = &deployment.instances[0];
+    let address = instance.callers;
+    let heads = (0..LONG_HEADS).map(|_| async move {
+        loop {
+            // Ends when the instance refuses the head or gives it up.
+            let _ = send_long_head(address).await;
+            sleep(READ_TIME).await;
+        }
+    });
+    let senders = (0..SMALL_CALLERS).map(|caller| async move {
+        for number in 0.. {
+            let id = format!("body{caller}-{number}");
+            let _ = send_large(address, &id, SMALL_BODY_BYTES).await;
+            sleep(READ_TIME).await;
+        }
+    });
+    let load = async { drop(tokio::join!(join_all(heads), join_all(senders))) };
+    let name = format!("{SMALL_MEMORY} MiB, bodies of 8 MiB and long heads");
+    beside(&name, instance, load).await;
+}
+
+async fn send_long_head(address: SocketAddr) -> io::Result<()> {
+    let mut stream = TcpStream::connect(address).await?;
+    let head = "GET /lookup/x HTTP/1.1\r\nhost: front.example\r\nx-long: ";
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'x'; LONG_HEAD_BYTES]).await?;
+    stream.read(&mut [0; 1024]).await.map(drop)
+}
+
 /// Targets whose responses have a body without end, one byte in each chunk.
 async fn tiny_chunks(targets: usize) {
     let deployment = start().await;
