fix(serve): callers refused for want of memory get their response before the connection closes

Cause: the connection was closed with bytes of the request unread, or the response was there before the request. Now the connection is read on for up to half a second, and the first request on it is waited for.

--- a/crates/cowslipcross/src/serve.rs
+++ b/crates/cowslipcross/src/serve.rs
@@ -14,6 +14,7 @@
 pub mod organisations;
 pub mod permits;
 pub mod quiet_targets;
+mod refused_connection;
 pub mod relay_headers;
 pub mod relay_server;
 pub mod request;
--- a/crates/cowslipcross/src/serve/caller_stream.rs
+++ b/crates/cowslipcross/src/serve/caller_stream.rs
@@ -2,7 +2,7 @@
 //! memory.
 
 use {
-    crate::serve::caller_response,
+    crate::serve::refused_connection,
     cowslip_adapter::metered_stream::MeteredStream,
     std::{
         cell::Cell,
@@ -11,7 +11,10 @@
         rc::Rc,
         task::{Context, Poll},
     },
-    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        task::spawn_local,
+    },
 };
 
 /// What a connection is used for now.
@@ -35,7 +38,8 @@
 
 /// A connection that tracks its usage.
 pub struct CallerStream {
-    stream: MeteredStream,
+    /// `None` once a request was refused for want of memory.
+    stream: Option<MeteredStream>,
     usage: SharedUsage,
     /// Whether a part of a response is still to be sent.
     is_sending: bool,
@@ -45,17 +49,18 @@
     /// Tracks the usage of a connection.
     pub fn new(stream: MeteredStream, usage: SharedUsage) -> Self {
         Self {
-            stream,
+            stream: Some(stream),
             usage,
             is_sending: false,
         }
     }
 
     /// Ends the connection for want of memory, and tells the caller that its request has not run.
-    fn refuse(&self) {
+    fn refuse(&mut self) {
         self.usage.set(Usage::Refused);
-        if !self.is_sending {
-            self.stream.try_write(&caller_response::no_memory_message());
+        let stream = self.stream.take().filter(|_| !self.is_sending);
+        if let Some(stream) = stream {
+            spawn_local(refused_connection::refuse(stream.into_inner()));
         }
     }
 
@@ -64,11 +69,9 @@
         self.is_sending = !matches!(written, Poll::Ready(Ok(count)) if *count == bytes);
     }
 
-    fn check_usable(&self) -> io::Result<()> {
-        match self.usage.get() {
-            Usage::Refused => Err(io::ErrorKind::BrokenPipe.into()),
-            _ => Ok(()),
-        }
+    fn open_stream(&mut self) -> io::Result<Pin<&mut MeteredStream>> {
+        let stream = self.stream.as_mut().map(Pin::new);
+        stream.ok_or_else(|| io::ErrorKind::BrokenPipe.into())
     }
 }
 
@@ -79,14 +82,15 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        // A request that is whole may be running, so that its connection is kept whatever it takes.
         let usage = self.usage.get();
-        self.stream.enforce(usage != Usage::HandlesRequest);
+        let mut stream = self.open_stream()?;
+        // A request that is whole may be running, so that its connection is kept whatever it takes.
+        stream.enforce(usage != Usage::HandlesRequest);
         // A body is taken out of the buffer piece by piece, only a head is kept there.
         if matches!(usage, Usage::ReadsBody | Usage::HandlesRequest) {
-            self.stream.mark_taken();
+            stream.mark_taken();
         }
-        let read = Pin::new(&mut self.stream).poll_read(task, buffer);
+        let read = stream.poll_read(task, buffer);
         if let Poll::Ready(Err(error)) = &read
             && error.kind() == io::ErrorKind::OutOfMemory
         {
@@ -105,8 +109,7 @@
         task: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check_usable()?;
-        let written = Pin::new(&mut self.stream).poll_write(task, bytes);
+        let written = self.open_stream()?.poll_write(task, bytes);
         self.record_write(bytes.len(), &written);
         written
     }
@@ -116,22 +119,23 @@
         task: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check_usable()?;
-        let written = Pin::new(&mut self.stream).poll_write_vectored(task, slices);
+        let written = self.open_stream()?.poll_write_vectored(task, slices);
         let bytes = slices.iter().map(|it| it.len()).sum();
         self.record_write(bytes, &written);
         written
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream
+            .as_ref()
+            .is_some_and(MeteredStream::is_write_vectored)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, task: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(task)
+        self.open_stream()?.poll_flush(task)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, task: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(task)
+        self.open_stream()?.poll_shutdown(task)
     }
 }
--- a/crates/cowslipcross/src/serve/server.rs
+++ b/crates/cowslipcross/src/serve/server.rs
@@ -9,7 +9,7 @@
             caller_stream::{CallerStream, SharedUsage, Usage},
             counter_guard::CounterGuard,
             forward::forward_request,
-            organisations,
+            organisations, refused_connection,
             request::{self, BadRequest, CallerRequest},
         },
     },
@@ -108,10 +108,8 @@
     let Some(reservation) =
         metered_stream::reserve_connection(&context.memory_budget, ConnectionKind::Caller)
     else {
-        // A caller that does not read it loses nothing but the reason for the end of the connection.
-        let _ = stream.try_write(&caller_response::no_memory_message());
         context.record_event(events::CONNECTION_REFUSED, NO_MEMORY.into());
-        return;
+        return refused_connection::refuse_first(stream).await;
     };
     open_connections
         .0
