--- a/crates/cowslipcross/src/serve/caller_response.rs
+++ b/crates/cowslipcross/src/serve/caller_response.rs
@@ -89,30 +89,33 @@
 /// Returns the response to a request that cannot be read or routed.
 pub fn bad_request_response(bad: &BadRequest) -> Response<ResponseBody> {
     let mut response = text_response(bad.status(), bad.message());
-    let wait = match bad {
-        BadRequest::NoConfig => Some(NO_CONFIG_WAIT),
-        BadRequest::NoMemory => {
-            Some(NO_MEMORY_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER)))
-        }
-        BadRequest::Stopping => Some(STOPPING_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER))),
-        BadRequest::OverAllotment(wait) => {
-            Some(wait.mul_f64(rand::random_range(RETRY_AFTER_JITTER)))
-        }
-        _ => None,
-    };
-    if let Some(wait) = wait {
+    if let Some(wait) = retry_wait(bad) {
         let wait = headers::format_retry_after(wait);
         response.headers_mut().insert(header::RETRY_AFTER, wait);
     }
     response
 }
 
+/// Returns the time after which the caller of a request that cannot be read or routed should come back.
+fn retry_wait(bad: &BadRequest) -> Option<Duration> {
+    match bad {
+        BadRequest::NoConfig => Some(NO_CONFIG_WAIT),
+        BadRequest::NoMemory => Some(jittered(NO_MEMORY_WAIT)),
+        BadRequest::Stopping => Some(jittered(STOPPING_WAIT)),
+        BadRequest::OverAllotment(wait) => Some(jittered(*wait)),
+        _ => None,
+    }
+}
+
+fn jittered(wait: Duration) -> Duration {
+    wait.mul_f64(rand::random_range(RETRY_AFTER_JITTER))
+}
+
 /// Returns a whole message that says that there is no memory for a request, for a connection on which no response can
 /// be sent otherwise.
 pub fn no_memory_message() -> Vec<u8> {
     let bad = BadRequest::NoMemory;
-    let wait = NO_MEMORY_WAIT.mul_f64(rand::random_range(RETRY_AFTER_JITTER));
-    let wait = headers::format_retry_after(wait);
+    let wait = headers::format_retry_after(jittered(NO_MEMORY_WAIT));
     let text = bad.message();
     let message = format!(
         "HTTP/1.1 {}\r\nretry-after: {}\r\nconnection: close\r\ncontent-type: text/plain\r\n\
@@ -134,11 +137,7 @@
 /// Returns a 503 whose `retry-after` varies by [`RETRY_AFTER_JITTER`].
 fn refusal_response(refusal: &Refusal, remaining: Duration) -> Response<ResponseBody> {
     let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.as_str());
-    let jitter = rand::random_range(RETRY_AFTER_JITTER);
-    let wait = refusal
-        .wait
-        .mul_f64(jitter)
-        .min(remaining.mul_f64(MAX_RETRY_AFTER_FACTOR));
+    let wait = jittered(refusal.wait).min(remaining.mul_f64(MAX_RETRY_AFTER_FACTOR));
     let wait = headers::format_retry_after(wait);
     response.headers_mut().insert(header::RETRY_AFTER, wait);
     response
