--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -165,7 +165,7 @@
     pub quiet_targets: RefCell<QuietTargets>,
     /// Requests that crash the targets that run them.
     pub crashing_requests: RefCell<CrashingRequests>,
-    /// Memory for the bodies of all messages.
+    /// Memory for bodies, connections and requests in progress.
     pub memory_budget: Arc<MemoryBudget>,
     /// Targets that may have restarted since their last report.
     pub restarts: RefCell<Restarts>,
--- a/crates/cowslipcross/src/serve/request.rs
+++ b/crates/cowslipcross/src/serve/request.rs
@@ -281,13 +281,10 @@
 
 /// Takes the memory for the steps of a request that is whole.
 fn reserve_memory(context: &Context) -> Result<MemoryReservation, BadRequest> {
-    let mut reservation = context
+    let reservation = context
         .memory_budget
         .body_reservation(ConnectionKind::Caller);
-    match reservation.resize(REQUEST_BYTES) {
-        true => Ok(reservation),
-        false => Err(BadRequest::NoMemory),
-    }
+    reservation.sized(REQUEST_BYTES).ok_or(BadRequest::NoMemory)
 }
 
 /// Returns the headers to forward; `content-length` is set again from the body that was read.
--- a/crates/decide/src/memory_budget.rs
+++ b/crates/decide/src/memory_budget.rs
@@ -172,6 +172,11 @@
         self.bytes
     }
 
+    /// Returns the reservation with so many bytes; `None` if there is no room for them.
+    pub fn sized(mut self, bytes: usize) -> Option<Self> {
+        self.resize(bytes).then_some(self)
+    }
+
     /// Changes to so many bytes; returns `false`, and counts a refusal, if there is no room for them. Less than
     /// before always fits.
     pub fn resize(&mut self, bytes: usize) -> bool {
