--- a/crates/cowslipcross/src/serve/attempt.rs
+++ b/crates/cowslipcross/src/serve/attempt.rs
@@ -120,7 +120,7 @@
     if let Some(TargetLife::Ended(confirmed)) = life {
         record_target_end(context, request, target, confirmed);
         let mut restarts = context.restarts.borrow_mut();
-        restarts.record_break(target, Instant::now());
+        restarts.record_doubt(target, Instant::now());
     }
     if matches!(outcome, ExchangeOutcome::Completed(_)) {
         crashing_requests::record_served(context, request);
--- a/crates/cowslipcross/src/serve/coordinator.rs
+++ b/crates/cowslipcross/src/serve/coordinator.rs
@@ -98,7 +98,7 @@
     let target = view.target_incarnation();
     let mut restarts = context.restarts.borrow_mut();
     if permit.shows_break(outcome) {
-        restarts.record_break(&target, now);
+        restarts.record_doubt(&target, now);
     } else if outcome.is_response() {
         restarts.record_response(&target, permit.granted_at, now);
     }
--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -211,11 +211,11 @@
     /// Returns the targets whose reports have come back with a restored store since an earlier snapshot. They may have
     /// ended before, and started anew without a report yet.
     pub fn returned_since(&self, earlier: &Self) -> Vec<TargetIncarnation> {
-        let is_restored = earlier.is_known() && self.store_version.era > earlier.store_version.era;
-        let all = self.views.values().filter(|_| is_restored);
-        let returned = all.map(TargetView::target_incarnation);
-        returned
-            .filter(|it| earlier.get_incarnation(it).is_none())
+        if !earlier.is_known() || self.store_version.era <= earlier.store_version.era {
+            return Vec::new();
+        }
+        let all = self.views.values().map(TargetView::target_incarnation);
+        all.filter(|it| earlier.get_incarnation(it).is_none())
             .collect()
     }
 
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -122,7 +122,7 @@
     );
     let now = Instant::now();
     for target in next.returned_since(previous) {
-        context.restarts.borrow_mut().record_return(&target, now);
+        context.restarts.borrow_mut().record_doubt(&target, now);
     }
     let mut connections = context.connections.borrow_mut();
     connections.retain(|id, _| next.get(id).is_some());
--- a/crates/decide/src/restarts.rs
+++ b/crates/decide/src/restarts.rs
@@ -38,13 +38,9 @@
 }
 
 impl Restarts {
-    /// Records that a target closed, reset or refused a connection, and that its path is not at fault.
-    pub fn record_break(&mut self, target: &TargetIncarnation, now: Instant) {
-        self.doubted.insert(target.clone(), now);
-    }
-
-    /// Records that the report of a target that was gone has come back with a restored store.
-    pub fn record_return(&mut self, target: &TargetIncarnation, now: Instant) {
+    /// Records that a target may have restarted: it closed, reset or refused a connection, and its path is not at fault,
+    /// or its report has come back with a restored store.
+    pub fn record_doubt(&mut self, target: &TargetIncarnation, now: Instant) {
         self.doubted.insert(target.clone(), now);
     }
 
--- a/crates/decide/tests/restarts.rs
+++ b/crates/decide/tests/restarts.rs
@@ -83,7 +83,7 @@
             let returned = pool.finish_request(&id, report(outcome), now);
             let returned = returned.expect("a permit");
             if returned.shows_break(outcome) {
-                restarts.record_break(&target(), now);
+                restarts.record_doubt(&target(), now);
             } else if outcome.is_response() {
                 restarts.record_response(&target(), returned.granted_at, now);
             }
@@ -132,7 +132,7 @@
     let start = Instant::now();
     let mut restarts = Restarts::default();
     restarts.record_read(start);
-    restarts.record_break(&target(), start + millis(100));
+    restarts.record_doubt(&target(), start + millis(100));
     for ms in [600, 1200, 1800, 2300] {
         restarts.record_read(start + millis(ms));
         assert!(restarts.may_be_cold(&target()), "at {ms} ms");
@@ -146,7 +146,7 @@
     let start = Instant::now();
     let mut restarts = Restarts::default();
     restarts.record_read(start);
-    restarts.record_break(&target(), start + millis(100));
+    restarts.record_doubt(&target(), start + millis(100));
     restarts.record_read(start + millis(600));
     // The target could not write its new report before 3,000 ms.
     for ms in [3000, 3600, 4200, 4800] {
@@ -161,7 +161,7 @@
 fn only_a_response_to_a_request_of_before_the_break_proves_that_the_target_ran_through() {
     let start = Instant::now();
     let mut restarts = Restarts::default();
-    restarts.record_break(&target(), start + millis(100));
+    restarts.record_doubt(&target(), start + millis(100));
     restarts.record_response(&target(), start + millis(150), start + millis(250));
     assert!(restarts.may_be_cold(&target()), "it was sent later");
     restarts.record_response(&target(), start + millis(50), start + millis(105));
