test(review): case 7, an entry of another writer ends the hold of a live backend

Claim: OWNER is broken. A backend is partitioned from the store, so that its entry is removed; an entry of another writer, for a service that is in no configuration, names the same address. The leader takes that for the proof that the backend has ended and grants its keys to another one without a release.

--- a/review/harness-2/src/backend.rs
+++ b/review/harness-2/src/backend.rs
@@ -30,6 +30,8 @@
     /// Time for which it is cold after its start.
     pub cold: Duration,
     pub is_up: AtomicBool,
+    /// Whether it is partitioned from the store.
+    pub is_cut: AtomicBool,
     pub sequence: AtomicU64,
     /// Answers so far, and how many of them were sent a second time.
     pub answers: AtomicU32,
@@ -74,6 +76,7 @@
             started_at: Instant::now(),
             cold: options.cold,
             is_up: AtomicBool::new(true),
+            is_cut: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             answers: AtomicU32::new(0),
             copies: AtomicU32::new(0),
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -6,8 +6,10 @@
 mod http;
 mod json;
 mod late_copy;
+mod odd_entry;
 mod record;
 mod store;
+mod world;
 
 use std::{env, path::Path, process::exit};
 
@@ -28,6 +30,7 @@
     let paths = (Path::new(repository), Path::new(folder));
     let verdict = match case.as_str() {
         "late-copy" => late_copy::run(paths, has_trouble),
+        "odd-entry" => odd_entry::run(paths, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     match verdict {
