test(review): case 8, backends that have left are in use again after a drill

Claim: DRAIN is broken. Followers read the restored table of backends before the entries of backends that have left are removed once more; the leader reads it afterwards and sees no change. Its heartbeats confirm the followers' tables, which keep the backends for good.

--- a/review/harness-2/src/backend.rs
+++ b/review/harness-2/src/backend.rs
@@ -23,6 +23,9 @@
 /// One life of a backend.
 pub struct Backend {
     pub id: String,
+    pub service: String,
+    /// Whether its service is divided by key.
+    is_sharded: bool,
     pub address: SocketAddr,
     pub zone: String,
     pub born: u64,
@@ -54,14 +57,17 @@
 /// How a backend is started.
 pub struct Options {
     pub id: String,
+    pub service: String,
+    pub is_sharded: bool,
     pub address: SocketAddr,
     pub zone: String,
     pub cold: Duration,
     pub copies_421: bool,
 }
 
-/// Work of one request.
-const WORK: Duration = Duration::from_millis(40);
+/// Work of one request at a service that is divided by key, and at another one.
+const KEYED_WORK: Duration = Duration::from_millis(40);
+const WORK: Duration = Duration::from_millis(200);
 
 impl Backend {
     pub fn start(options: Options, record: Arc<Record>) -> Arc<Self> {
@@ -70,6 +76,8 @@
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let backend = Arc::new(Self {
             id: options.id,
+            service: options.service,
+            is_sharded: options.is_sharded,
             address,
             zone: options.zone,
             born: since_epoch.map_or(0, |it| it.as_millis() as u64),
@@ -113,11 +121,12 @@
     }
 
     /// Returns the entry in the store.
-    pub fn entry(&self, service: &str) -> String {
+    pub fn entry(&self) -> String {
         let cold = self.cold.saturating_sub(self.started_at.elapsed());
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         format!(
-            r#"{{"Service":"{service}","Address":"{}","Zone":"{}","Version":"v1","Slots":2,"State":"ready","ColdRemaining":"{}ms","Sequence":{sequence},"born":{}}}"#,
+            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":2,"State":"ready","ColdRemaining":"{}ms","Sequence":{sequence},"born":{}}}"#,
+            self.service,
             self.address,
             self.zone,
             cold.as_millis(),
@@ -249,12 +258,12 @@
             .header("x-shard-key")
             .and_then(|it| it.parse::<usize>().ok());
         let is_held = key.is_some_and(|key| key < KEYS && self.fence(key).is_some());
-        if !is_held {
+        if self.is_sharded && !is_held {
             return response(421, &[("X-Request-Id", id), ("X-Not-Executed", "1")], b"");
         }
         self.running.fetch_add(1, Ordering::SeqCst);
         self.record.run(id, &self.id, key.unwrap_or(0));
-        thread::sleep(WORK);
+        thread::sleep(if self.is_sharded { KEYED_WORK } else { WORK });
         self.running.fetch_sub(1, Ordering::SeqCst);
         let load = format!("{},0,2,100", self.running.load(Ordering::SeqCst));
         let headers = [
--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -7,8 +7,11 @@
         io,
         net::{SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
-        process::{Child, Command, Stdio},
-        sync::Arc,
+        process::{self, Child, Command, Stdio},
+        sync::{
+            Arc,
+            atomic::{AtomicU16, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -23,25 +26,37 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        // The process may have ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
-/// Returns an address on which nothing listens.
+/// Starts a process with the command of the deploy file, in the directory of the repository.
+fn start_process(repository: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    Command::new("target/release/cowslipcross")
+        .current_dir(repository)
+        .env_clear()
+        .env("COWSLIPCROSS_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .spawn()
+}
+
+/// Returns an address on which nothing listens, below the ports that outgoing connections get.
 pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = (process::id() % 100) as u16 * 100;
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
+        let port = 20_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 12_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
 }
 
 impl Instance {
-    /// Starts an instance with the command of the deploy file, in the directory of the repository.
+    /// Starts an instance for the first time.
     pub fn start(
         repository: &Path,
         directory: &Path,
@@ -60,14 +75,8 @@
         );
         let path: PathBuf = directory.join(format!("node-{number}.conf"));
         fs::write(&path, settings)?;
-        let log = File::create(directory.join(format!("log-{number}.txt")))?;
-        let child = Command::new("target/release/cowslipcross")
-            .current_dir(repository)
-            .env_clear()
-            .env("COWSLIPCROSS_NODE_FILE", &path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .spawn()?;
+        let log = directory.join(format!("log-{number}.txt"));
+        let child = start_process(repository, &path, &log)?;
         Ok(Self {
             callers,
             readiness,
@@ -75,6 +84,13 @@
         })
     }
 
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
+        // The process may have ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Waits until the instance says that it is ready; returns whether it did in time.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
@@ -91,11 +107,12 @@
     }
 }
 
-/// Writes the configuration: one service, divided by key, with an idempotent and another route.
+/// Writes the configuration: a service that is divided by key, with an idempotent and another route, and three that are
+/// not, with a route each that is not idempotent.
 pub fn write_config(store: &Store, record: &Record) {
     let columns = r#"["Name","Host","Prefix","RouteKind","Timeout","TargetLatency","Priority","TrafficSplit","MaxAttempts","Service"]"#;
     let config = format!(
-        r#"{{"Version":"r7","Routes":{{"Columns":{columns},"Rows":[["look","ficu95.example","/lohu930/","safe","2000ms","600ms",2,null,2,"huvo11a"],["order","ficu95.example","/pufi791/","unsafe","2500ms","800ms",1,null,2,"huvo11a"]]}},"Services":{{"Columns":["Name","HealthPath","MaxConnections","Protocol","Tls","ColdStart","ColdPerS","Sharded","Warm","Grants"],"Rows":[["huvo11a","/health",130,"h1",false,"3s",3.1,true,"3s","call"]]}},"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}}}}"#
+        r#"{{"Version":"r7","Routes":{{"Columns":{columns},"Rows":[["look","ficu95.example","/lohu930/","safe","2000ms","600ms",2,null,2,"huvo11a"],["order","ficu95.example","/pufi791/","unsafe","2500ms","800ms",1,null,2,"huvo11a"],["book-1","ficu95.example","/raku1/","unsafe","1500ms","500ms",0,null,2,"wuno96b"],["book-2","ficu95.example","/raku2/","unsafe","1500ms","500ms",0,null,2,"dele69a"],["book-3","ficu95.example","/raku3/","unsafe","1500ms","500ms",0,null,2,"xano55c"]]}},"Services":{{"Columns":["Name","HealthPath","MaxConnections","Protocol","Tls","ColdStart","ColdPerS","Sharded","Warm","Grants"],"Rows":[["huvo11a","/health",130,"h1",false,"3s",3.1,true,"3s","call"],["wuno96b","/health",130,"h1",false,"3s",3.1,null,null,null],["dele69a","/health",130,"h1",false,"3s",3.1,null,null,null],["xano55c","/health",130,"h1",false,"3s",3.1,null,null,null]]}},"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}}}}"#
     );
     store.put("op", "config", Some(&config));
     record.line("the operator writes op/config, version r7");
@@ -103,26 +120,29 @@
 
 /// Sends idempotent and other requests by turns until the program ends, each on a new connection.
 pub fn start_callers(instances: &[SocketAddr], record: &Arc<Record>) {
-    for caller in 0..4usize {
+    for caller in 0..6usize {
         let (instances, record) = (instances.to_vec(), record.clone());
         thread::spawn(move || {
             let mut key = 7919 * caller;
             for number in 0.. {
                 key = (key + 10_007) % 65_536;
                 let address = instances[(caller + number) % instances.len()];
-                let (method, path) = match number % 2 {
+                let (method, path) = match number % 5 {
                     0 => ("GET", "/lohu930/2f"),
-                    _ => ("POST", "/pufi791/2f"),
+                    1 => ("POST", "/pufi791/2f"),
+                    2 => ("PUT", "/raku1/2f"),
+                    3 => ("PUT", "/raku2/2f"),
+                    _ => ("PUT", "/raku3/2f"),
                 };
                 let id = format!("c{caller}-{number}");
                 let head = format!(
                     "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: {id}\r\n\
                      X-Deadline-Ms: 4000\r\nX-Shard-Key: {key}\r\nConnection: close\r\n"
                 );
-                record.line(&format!("send {id} {method} key {key}"));
+                record.send(&id, &format!("{method} {path} key {key}"));
                 let answer = http::request(address, &head, b"", Duration::from_secs(5));
                 let status = answer.map_or(0, |it| it.status());
-                record.line(&format!("answer {id} {status}"));
+                record.answer(&id, status);
                 thread::sleep(Duration::from_millis(100));
             }
         });
--- a/review/harness-2/src/late_copy.rs
+++ b/review/harness-2/src/late_copy.rs
@@ -32,6 +32,8 @@
         // A new lifetime, with a new id, at the same address.
         world.add_backend(Options {
             id: format!("i-{number}b"),
+            service: ended.service.clone(),
+            is_sharded: true,
             address: ended.address,
             zone: ended.zone.clone(),
             cold: COLD,
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -3,9 +3,11 @@
 
 mod backend;
 mod deployment;
+mod drill;
 mod http;
 mod json;
 mod late_copy;
+mod leaving;
 mod odd_entry;
 mod record;
 mod store;
@@ -30,6 +32,7 @@
     let paths = (Path::new(repository), Path::new(folder));
     let verdict = match case.as_str() {
         "late-copy" => late_copy::run(paths, has_trouble),
+        "drill" => drill::run(paths, has_trouble),
         "odd-entry" => odd_entry::run(paths, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -8,7 +8,10 @@
     std::{
         collections::BTreeMap,
         net::{SocketAddr, TcpListener},
-        sync::{Arc, Condvar, Mutex},
+        sync::{
+            Arc, Condvar, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -16,16 +19,29 @@
 /// Table, part and key.
 type RowKey = (String, String, String);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     /// Value in Base64, `None` once dropped, and version.
     rows: BTreeMap<RowKey, (Option<String>, u64)>,
     version: u64,
 }
 
+/// A copy of the store, from which it may come back.
+pub struct Copy(Rows);
+
+/// An address at which one machine reaches the store.
+#[derive(Clone)]
+pub struct Entrance {
+    pub address: SocketAddr,
+    /// Whether the machine is turned away with 503.
+    pub is_busy: Arc<AtomicBool>,
+}
+
 struct Shared {
     start: Instant,
     rows: Mutex<Rows>,
+    /// Rises by one each time the store comes back from a copy.
+    era: Mutex<u64>,
     changed: Condvar,
 }
 
@@ -33,25 +49,45 @@
 #[derive(Clone)]
 pub struct Store {
     shared: Arc<Shared>,
-    pub address: SocketAddr,
 }
 
 impl Store {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
         let shared = Arc::new(Shared {
             start: Instant::now(),
             rows: Mutex::default(),
+            era: Mutex::default(),
             changed: Condvar::new(),
         });
-        let serving = shared.clone();
-        // The store runs until the program ends.
+        Self { shared }
+    }
+
+    /// Opens an address of the store for one machine.
+    pub fn open(&self) -> Entrance {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let entrance = Entrance {
+            address: listener.local_addr().expect("an address"),
+            is_busy: Arc::default(),
+        };
+        let (shared, serving) = (self.shared.clone(), entrance.clone());
+        // It is open until the program ends.
         std::mem::forget(Server::start(listener, move || {
-            let shared = serving.clone();
-            move |request: Message, _: &mut _| Some(shared.answer(&request))
+            let (shared, entrance) = (shared.clone(), serving.clone());
+            move |request: Message, _: &mut _| Some(shared.serve(&request, &entrance))
         }));
-        Self { shared, address }
+        entrance
+    }
+
+    pub fn copy(&self) -> Copy {
+        Copy(self.shared.rows.lock().unwrap().clone())
+    }
+
+    /// Comes back from a copy. What was written since is gone, and versions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut rows = self.shared.rows.lock().unwrap();
+        *rows = copy.0.clone();
+        *self.shared.era.lock().unwrap() += 1;
+        self.shared.changed.notify_all();
     }
 
     /// Writes a row with an empty part; `None` drops it.
@@ -71,14 +107,22 @@
         format!("{}ms", self.start.elapsed().as_millis())
     }
 
-    fn answer(&self, request: &Message) -> Vec<u8> {
+    fn serve(&self, request: &Message, entrance: &Entrance) -> Vec<u8> {
+        if entrance.is_busy.load(Ordering::SeqCst) {
+            return self.response(503, "{}");
+        }
         let (status, body) = match request.path() {
             "/-/rows-get" => self.get(request),
-            "/-/rows-feed" => self.feed(request),
+            "/-/rows-feed" => self.feed(request, &entrance.is_busy),
             "/-/rows-tx" => self.transact(&request.body),
             _ => (404, "{}".to_owned()),
         };
-        let headers = [("Content-Type", "application/json"), ("Store-Era", "0")];
+        self.response(status, &body)
+    }
+
+    fn response(&self, status: u16, body: &str) -> Vec<u8> {
+        let era = self.era.lock().unwrap().to_string();
+        let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
         response(status, &headers, body.as_bytes())
     }
 
@@ -101,13 +145,20 @@
         )
     }
 
-    fn feed(&self, request: &Message) -> (u16, String) {
+    fn feed(&self, request: &Message, is_busy: &AtomicBool) -> (u16, String) {
         let table = request.parameter("Table");
         let after: u64 = request.parameter("after").parse().unwrap_or(0);
         let wait: u64 = request.parameter("WaitMs").parse().unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut rows = self.rows.lock().unwrap();
         loop {
+            if is_busy.load(Ordering::SeqCst) {
+                return (503, "{}".to_owned());
+            }
+            // The version is from before the store came back from a copy.
+            if after > rows.version {
+                return (410, "{}".to_owned());
+            }
             let newer = rows.rows.iter();
             let newer = newer.filter(|((in_table, ..), row)| *in_table == table && row.1 > after);
             let mut newer: Vec<_> = newer.collect();
@@ -118,7 +169,8 @@
                     newer.iter().map(|(key, row)| row_json(key, row)).collect();
                 return (200, self.page(&newer, rows.version));
             }
-            rows = self.changed.wait_timeout(rows, left).unwrap().0;
+            let step = left.min(Duration::from_millis(20));
+            rows = self.changed.wait_timeout(rows, step).unwrap().0;
         }
     }
 
--- a/review/harness-2/src/world.rs
+++ b/review/harness-2/src/world.rs
@@ -6,7 +6,7 @@
         backend::{Backend, KEYS, Options},
         deployment::{self, Instance},
         record::Record,
-        store::Store,
+        store::{Entrance, Store},
     },
     std::{
         collections::BTreeMap,
@@ -18,9 +18,14 @@
     },
 };
 
+/// Service that is divided by key.
 pub const SERVICE: &str = "huvo11a";
+/// Services that are not.
+pub const OTHER_SERVICES: [&str; 3] = ["wuno96b", "dele69a", "xano55c"];
 pub const ZONES: [&str; 3] = ["sapporo", "otaru", "ebetsu"];
 const BACKENDS: usize = 5;
+/// Most instances.
+const INSTANCES: usize = 4;
 /// Interval at which a backend writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(870);
 /// Time after a backend's last report at which its entry is removed: three intervals.
@@ -38,6 +43,8 @@
     pub record: Arc<Record>,
     pub store: Store,
     pub backends: Backends,
+    /// Where each instance reaches the store.
+    pub entrances: Vec<Entrance>,
     overlap: Arc<Mutex<Option<String>>>,
 }
 
@@ -70,18 +77,22 @@
         let record = Arc::new(Record::create(&folder.join("record.txt"))?);
         let directory = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&directory)?;
+        let store = Store::start();
         let world = Self {
             repository: repository.into(),
             directory,
             record: record.clone(),
-            store: Store::start(),
+            store: store.clone(),
             backends: Arc::default(),
+            entrances: (0..INSTANCES).map(|_| store.open()).collect(),
             overlap: Arc::default(),
         };
         for number in 0..BACKENDS {
             world.add_backend(Options {
                 id: format!("i-{number}a"),
-                address: "127.0.0.1:0".parse().expect("an address"),
+                service: SERVICE.into(),
+                is_sharded: true,
+                address: deployment::free_address(),
                 zone: ZONES[number % ZONES.len()].into(),
                 cold: Duration::ZERO,
                 copies_421: false,
@@ -93,9 +104,10 @@
         Ok(world)
     }
 
-    pub fn add_backend(&self, options: Options) {
+    pub fn add_backend(&self, options: Options) -> Arc<Backend> {
         let backend = Backend::start(options, self.record.clone());
-        self.backends.lock().unwrap().push(backend);
+        self.backends.lock().unwrap().push(backend.clone());
+        backend
     }
 
     pub fn backend(&self, index: usize) -> Arc<Backend> {
@@ -121,7 +133,7 @@
             &self.directory,
             number,
             zone,
-            self.store.address,
+            self.entrances[number].address,
         )
         .map_err(|error| format!("an instance: {error}"))
     }
@@ -170,7 +182,7 @@
             let at = last.get(&backend.id).copied();
             let elapsed = at.map(|at: Instant| at.elapsed());
             if reports && elapsed.is_none_or(|it| it >= HEARTBEAT) {
-                store.put("servers", &backend.id, Some(&backend.entry(SERVICE)));
+                store.put("servers", &backend.id, Some(&backend.entry()));
                 last.insert(backend.id.clone(), Instant::now());
             } else if !reports && elapsed.is_some_and(|it| it >= EXPIRY) {
                 store.put("servers", &backend.id, None);
