test(review): case 9, backends that have left are in use again after a restart of the leader

Claim: DRAIN is broken. The process that leads is killed and starts again while the store turns another machine away; backends leave meanwhile. The first heartbeats of the new leader carry its whole table as a change from no version. The other machine adds and replaces by it, removes nothing, and counts as up to date; it goes on sending to the backends that have left.

--- a/review/harness-2/src/backend.rs
+++ b/review/harness-2/src/backend.rs
@@ -67,7 +67,7 @@
 
 /// Work of one request at a service that is divided by key, and at another one.
 const KEYED_WORK: Duration = Duration::from_millis(40);
-const WORK: Duration = Duration::from_millis(200);
+const WORK: Duration = Duration::from_millis(600);
 
 impl Backend {
     pub fn start(options: Options, record: Arc<Record>) -> Arc<Self> {
--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -21,6 +21,8 @@
 pub struct Instance {
     pub callers: SocketAddr,
     readiness: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
     child: Child,
 }
 
@@ -61,13 +63,13 @@
         repository: &Path,
         directory: &Path,
         number: usize,
-        zone: &str,
+        (zone, cpu): (&str, &str),
         store: SocketAddr,
     ) -> io::Result<Self> {
         let (callers, readiness) = (free_address(), free_address());
         let (operators, heartbeats) = (free_address(), free_address());
         let settings = format!(
-            "name = \"front-{zone}-{number}\"\ndata_centre = \"{zone}\"\nstore = \"{store}\"\ncpu = \"0.2\"\n\
+            "name = \"front-{zone}-{number}\"\ndata_centre = \"{zone}\"\nstore = \"{store}\"\ncpu = \"{cpu}\"\n\
              memory = \"260\"\nbootstrap = \"true\"\n\n[listen]\ncallers = \"{callers}\"\n\
              readiness = \"{readiness}\"\noperators = \"{operators}\"\nheartbeats = \"{heartbeats}\"\n\n\
              [bounds]\ngrace = \"6s\"\nwithdrawal = \"5000ms\"\nmax_hold = \"10000ms\"\nretry_ratio = \"0.2\"\n\
@@ -80,6 +82,8 @@
         Ok(Self {
             callers,
             readiness,
+            settings: path,
+            log,
             child,
         })
     }
@@ -91,6 +95,16 @@
         let _ = self.child.wait();
     }
 
+    /// Starts the process again; from the second start on, `Bootstrap` is false.
+    pub fn restart(&mut self, repository: &Path) -> Result<(), String> {
+        let settings = fs::read_to_string(&self.settings).map_err(|error| error.to_string())?;
+        let settings = settings.replace("bootstrap = \"true\"", "bootstrap = \"false\"");
+        fs::write(&self.settings, settings).map_err(|error| error.to_string())?;
+        let started = start_process(repository, &self.settings, &self.log);
+        self.child = started.map_err(|error| format!("an instance: {error}"))?;
+        Ok(())
+    }
+
     /// Waits until the instance says that it is ready; returns whether it did in time.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
@@ -119,8 +133,8 @@
 }
 
 /// Sends idempotent and other requests by turns until the program ends, each on a new connection.
-pub fn start_callers(instances: &[SocketAddr], record: &Arc<Record>) {
-    for caller in 0..6usize {
+pub fn start_callers(instances: &[SocketAddr], callers: usize, record: &Arc<Record>) {
+    for caller in 0..callers {
         let (instances, record) = (instances.to_vec(), record.clone());
         thread::spawn(move || {
             let mut key = 7919 * caller;
--- a/review/harness-2/src/drill.rs
+++ b/review/harness-2/src/drill.rs
@@ -33,7 +33,7 @@
 
 fn hold(world: &World, has_trouble: bool) -> Result<bool, String> {
     let mut services = Services::start(world);
-    let _instances = world.start_instances(INSTANCES)?;
+    let _instances = world.start_instances(INSTANCES, "0.2", 6)?;
     thread::sleep(Duration::from_secs(6));
     let mut is_broken = false;
     for _ in 0..DRILLS {
--- a/review/harness-2/src/late_copy.rs
+++ b/review/harness-2/src/late_copy.rs
@@ -23,7 +23,7 @@
 }
 
 fn hold(world: &World, has_trouble: bool) -> Result<bool, String> {
-    let _instances = world.start_instances(3)?;
+    let _instances = world.start_instances(3, "0.2", 6)?;
     thread::sleep(Duration::from_secs(6));
     for number in 0..CRASHES {
         let ended = world.backend(number);
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod odd_entry;
 mod record;
+mod restart;
 mod store;
 mod world;
 
@@ -33,6 +34,7 @@
     let verdict = match case.as_str() {
         "late-copy" => late_copy::run(paths, has_trouble),
         "drill" => drill::run(paths, has_trouble),
+        "restart" => restart::run(paths, has_trouble),
         "odd-entry" => odd_entry::run(paths, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/harness-2/src/odd_entry.rs
+++ b/review/harness-2/src/odd_entry.rs
@@ -25,7 +25,7 @@
 }
 
 fn hold(world: &World, has_trouble: bool) -> Result<bool, String> {
-    let _instances = world.start_instances(3)?;
+    let _instances = world.start_instances(3, "0.2", 6)?;
     thread::sleep(Duration::from_secs(5));
     for number in 0..CUTS {
         let backend = world.backend(number);
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -35,6 +35,8 @@
     pub address: SocketAddr,
     /// Whether the machine is turned away with 503.
     pub is_busy: Arc<AtomicBool>,
+    /// When a transaction of the machine was last carried out.
+    pub wrote_at: Arc<Mutex<Option<Instant>>>,
 }
 
 struct Shared {
@@ -68,6 +70,7 @@
         let entrance = Entrance {
             address: listener.local_addr().expect("an address"),
             is_busy: Arc::default(),
+            wrote_at: Arc::default(),
         };
         let (shared, serving) = (self.shared.clone(), entrance.clone());
         // It is open until the program ends.
@@ -117,6 +120,9 @@
             "/-/rows-tx" => self.transact(&request.body),
             _ => (404, "{}".to_owned()),
         };
+        if status == 200 && request.path() == "/-/rows-tx" {
+            *entrance.wrote_at.lock().unwrap() = Some(Instant::now());
+        }
         self.response(status, &body)
     }
 
--- a/review/harness-2/src/world.rs
+++ b/review/harness-2/src/world.rs
@@ -110,35 +110,46 @@
         backend
     }
 
+    /// Returns the number of the instance that last wrote to the store under a condition.
+    pub fn leader(&self) -> usize {
+        let wrote_at = |number: &usize| *self.entrances[*number].wrote_at.lock().unwrap();
+        (0..self.entrances.len()).max_by_key(wrote_at).unwrap_or(0)
+    }
+
     pub fn backend(&self, index: usize) -> Arc<Backend> {
         self.backends.lock().unwrap()[index].clone()
     }
 
-    /// Starts instances and callers, and waits until all instances are ready.
-    pub fn start_instances(&self, count: usize) -> Result<Vec<Instance>, String> {
+    /// Starts instances with so much of a core, and callers, and waits until all instances are ready.
+    pub fn start_instances(
+        &self,
+        count: usize,
+        cpu: &str,
+        callers: usize,
+    ) -> Result<Vec<Instance>, String> {
         let mut instances = Vec::new();
         for number in 0..count {
-            instances.push(self.start_instance(number)?);
+            instances.push(self.start_instance(number, cpu)?);
         }
         self.await_ready(&instances)?;
         let addresses: Vec<_> = instances.iter().map(|it| it.callers).collect();
-        deployment::start_callers(&addresses, &self.record);
+        deployment::start_callers(&addresses, callers, &self.record);
         Ok(instances)
     }
 
-    pub fn start_instance(&self, number: usize) -> Result<Instance, String> {
+    fn start_instance(&self, number: usize, cpu: &str) -> Result<Instance, String> {
         let zone = ZONES[number % ZONES.len()];
         Instance::start(
             &self.repository,
             &self.directory,
             number,
-            zone,
+            (zone, cpu),
             self.entrances[number].address,
         )
         .map_err(|error| format!("an instance: {error}"))
     }
 
-    pub fn await_ready(&self, instances: &[Instance]) -> Result<(), String> {
+    fn await_ready(&self, instances: &[Instance]) -> Result<(), String> {
         let is_ready = |it: &Instance| it.wait_until_ready(Duration::from_secs(20));
         if !instances.iter().all(is_ready) {
             return Err("the instances are not ready within 20 s".into());
