fix(lead): a report proves nothing about the owner whose address it names

Cause: an owner without a report counted as ended once any report, also one of a service in no configuration, named its address with a later start; its keys were granted to another target without a release. On a related path, such a report under the owner's own id named the address to which the leader sent the release; the process there answered 421, which passed for the end of the owner.

Evidence: the log has the removed report and, 4 ms later, the record of another owner; no command between them.

Fix: only a 421 to a command to the owner's address proves its end; the release that follows a lost report asks it there. Addresses are taken only from reports for services of the configuration. They are in a file of their own now. AssignmentManager::mark_ended and owners had no other caller and are gone.

--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -13,8 +13,8 @@
             quiet_targets::QuietTargets, routes::Routes, target_connections::TargetConnections,
         },
         views::{
-            target_notices::TargetNotices, target_snapshot::TargetSnapshot,
-            target_updates::TargetUpdates,
+            target_addresses::TargetAddresses, target_notices::TargetNotices,
+            target_snapshot::TargetSnapshot, target_updates::TargetUpdates,
         },
     },
     cowslip_adapter::{config::Config, store::Store},
@@ -24,7 +24,7 @@
         limits::{RetryBudget, RetryWindow},
         memory_budget::MemoryBudget,
         names::{Incarnation, Name, StoreVersion},
-        owners::{Assignment, AssignmentTable, PreviousLeaders, StoreTimeBound, TargetIncarnation},
+        owners::{Assignment, AssignmentTable, PreviousLeaders, StoreTimeBound},
         reach::Reach,
         relays::Relays,
         restarts::Restarts,
@@ -81,15 +81,6 @@
     pub recorded_at: Instant,
 }
 
-/// Last known socket address of a target's latest known incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TargetAddress {
-    /// Incarnation of the target.
-    pub incarnation: u64,
-    /// Last known address of the target.
-    pub socket_address: SocketAddr,
-}
-
 /// Number of requests by service and key since the last report to the leader.
 pub type KeyCounts = BTreeMap<Name, BTreeMap<u16, u32>>;
 
@@ -144,8 +135,8 @@
     pub organisations: Organisations,
     /// Targets as last read from the store or received from the leader.
     pub targets: RefCell<Rc<TargetSnapshot>>,
-    /// Last known addresses of targets: one whose report has expired may still own keys.
-    pub target_addresses: RefCell<BTreeMap<Name, TargetAddress>>,
+    /// Last known addresses of targets.
+    pub target_addresses: RefCell<TargetAddresses>,
     /// Latest changes of targets, sent to the other instances while this one leads.
     pub target_updates: RefCell<TargetUpdates>,
     /// Notified when the leader's updates of targets cannot be applied and the store must be read.
@@ -380,30 +371,6 @@
         })
     }
 
-    /// Records the addresses of target incarnations, except where a later incarnation is known.
-    pub fn record_addresses(&self, targets: impl Iterator<Item = (TargetIncarnation, SocketAddr)>) {
-        let mut addresses = self.target_addresses.borrow_mut();
-        for (target, socket_address) in targets {
-            let latest = TargetAddress {
-                incarnation: target.incarnation,
-                socket_address,
-            };
-            let known = addresses.entry(target.id).or_insert(latest);
-            if known.incarnation <= latest.incarnation {
-                *known = latest;
-            }
-        }
-    }
-
-    /// Returns the last known address of a target incarnation; `None` if another one is known.
-    pub fn target_address(&self, target: &TargetIncarnation) -> Option<SocketAddr> {
-        let addresses = self.target_addresses.borrow();
-        let known = addresses.get(&target.id);
-        known
-            .filter(|it| it.incarnation == target.incarnation)
-            .map(|it| it.socket_address)
-    }
-
     /// Returns whether another instance leads and its heartbeats arrive.
     pub fn is_follower(&self) -> bool {
         let last = self.last_heartbeat.get();
--- a/crates/cowslipcross/src/lead/command_sender.rs
+++ b/crates/cowslipcross/src/lead/command_sender.rs
@@ -116,7 +116,7 @@
 
     /// Returns the clients of a target's last known address; `None` if no address is known.
     fn target_clients(&self, context: &Context, id: &Name) -> Option<TargetClients> {
-        let address = context.target_addresses.borrow().get(id)?.socket_address;
+        let address = context.target_addresses.borrow().latest(id)?;
         let budget = &context.memory_budget;
         let mut clients = self.clients.borrow_mut();
         let clients = clients.entry(address).or_insert_with(|| TargetClients {
--- a/crates/cowslipcross/src/lead/leader_loop.rs
+++ b/crates/cowslipcross/src/lead/leader_loop.rs
@@ -17,10 +17,10 @@
         names::{Fence, Name, StoreVersion},
         owners::{
             AssignmentManager, AssignmentTable, Candidate, Command, CommandOutcome, CommandTiming,
-            HotKeyPlacer, TargetCapacities, TargetIncarnation, Transfer, rebalance,
+            HotKeyPlacer, TargetCapacities, Transfer, rebalance,
         },
     },
-    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
     tokio::{
         task::spawn_local,
         time::{Instant, sleep, timeout},
@@ -232,9 +232,6 @@
             (id.clone(), candidate)
         });
         service.manager.review_owners(&candidates.collect(), now);
-        for owner in replaced_owners(context, service) {
-            service.manager.mark_ended(&owner, now);
-        }
         start_transfers(context, service, name, &capacities);
     }
     assignment_recorder::start_recording(context, state, name, statuses, capacities);
@@ -323,31 +320,6 @@
     if warm.is_empty() { select(true) } else { warm }
 }
 
-/// Returns the owners without a report whose address belongs to a target that started later.
-///
-/// Their processes have ended, as an address is given to another target only some time after that.
-fn replaced_owners(context: &Context, service: &ServiceState) -> Vec<TargetIncarnation> {
-    let targets = context.targets.borrow();
-    let owners = service.manager.owners().into_iter();
-    let missing: Vec<&TargetIncarnation> = owners
-        .filter(|owner| targets.get(&owner.id).is_none())
-        .filter(|owner| !service.manager.ended_incarnations().contains(owner))
-        .collect();
-    if missing.is_empty() {
-        return Vec::new();
-    }
-    let incarnations = targets
-        .all()
-        .map(|it| (it.report.address, it.report.incarnation));
-    let incarnations: BTreeMap<SocketAddr, u64> = incarnations.collect();
-    let replaced = missing.into_iter().filter(|owner| {
-        let address = context.target_address(owner);
-        let current = address.and_then(|socket_address| incarnations.get(&socket_address));
-        current.is_some_and(|incarnation| *incarnation > owner.incarnation)
-    });
-    replaced.cloned().collect()
-}
-
 /// Splits keys that never had an owner among the targets, and starts transfers that even out the
 /// loads.
 fn start_transfers(
--- a/crates/cowslipcross/src/lead/restoration.rs
+++ b/crates/cowslipcross/src/lead/restoration.rs
@@ -26,7 +26,8 @@
     let mut writes = vec![leader_row::new_row(context, timestamp, None)];
     let all_recorded = context.recorded_assignments.borrow().clone();
     for (service, recorded) in &all_recorded {
-        let value = AssignmentRowValue::new(&recorded.table, |owner| context.target_address(owner));
+        let address = |owner: &_| context.target_addresses.borrow().get(owner);
+        let value = AssignmentRowValue::new(&recorded.table, address);
         match assignment_rows::encode(service, &value) {
             Ok(rows) => writes.extend(rows),
             Err(error) => {
--- a/crates/cowslipcross/src/lead/row_reader.rs
+++ b/crates/cowslipcross/src/lead/row_reader.rs
@@ -158,7 +158,11 @@
             return context.record_event(events::ROW_INVALID, detail);
         }
     };
-    context.record_addresses(addresses.into_iter());
+    let mut known_addresses = context.target_addresses.borrow_mut();
+    for (owner, address) in &addresses {
+        known_addresses.record(owner, *address);
+    }
+    drop(known_addresses);
     if let Some(same) = known.filter(|it| it.version == row.version) {
         same.table = Rc::new(table);
         return;
--- a/crates/cowslipcross/src/lead/row_writer.rs
+++ b/crates/cowslipcross/src/lead/row_writer.rs
@@ -130,7 +130,8 @@
     }
     let key = assignment_rows::row_key(service);
     let own_version = context.election.borrow().row_version();
-    let value = AssignmentRowValue::new(table, |owner| context.target_address(owner));
+    let address = |owner: &_| context.target_addresses.borrow().get(owner);
+    let value = AssignmentRowValue::new(table, address);
     let Ok(mut writes) = assignment_rows::encode(service, &value) else {
         return RecordingOutcome::NotRecorded;
     };
--- a/crates/cowslipcross/src/views.rs
+++ b/crates/cowslipcross/src/views.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod store_era;
 mod store_health;
+pub mod target_addresses;
 pub mod target_notices;
 pub mod target_snapshot;
 pub mod target_updates;
--- a/crates/cowslipcross/src/views/config.rs
+++ b/crates/cowslipcross/src/views/config.rs
@@ -6,7 +6,7 @@
         events,
         serve::routes::Routes,
         store_calls,
-        views::{store_era, store_health::StoreHealth},
+        views::{store_era, store_health::StoreHealth, target_addresses},
     },
     cowslip_adapter::{
         Error,
@@ -183,6 +183,7 @@
     *context.routes.borrow_mut() = Rc::new(Routes::from(&config));
     *context.config.borrow_mut() = Some(Rc::new(config));
     context.record_event(events::CONFIG_APPLIED, detail);
+    target_addresses::record_reported(context);
     context.routing_changed.notify_waiters();
     context.leader_work.notify_one();
 }
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -9,6 +9,7 @@
         views::{
             store_era,
             store_health::StoreHealth,
+            target_addresses,
             target_snapshot::{TargetSnapshot, TargetView, UpdateResult},
             target_updates::TargetUpdateMessage,
         },
@@ -116,10 +117,6 @@
 /// Replaces the snapshot and records what has changed.
 fn replace_snapshot(context: &Context, previous: &TargetSnapshot, next: TargetSnapshot) {
     let changed = record_changes(context, previous, &next);
-    context.record_addresses(
-        next.all()
-            .map(|it| (it.target_incarnation(), it.report.address)),
-    );
     let now = Instant::now();
     for target in next.returned_since(previous) {
         context.restarts.borrow_mut().record_doubt(&target, now);
@@ -128,6 +125,7 @@
     connections.retain(|id, _| next.get(id).is_some());
     drop(connections);
     store_snapshot(context, next);
+    target_addresses::record_reported(context);
     if changed {
         context.routing_changed.notify_waiters();
         context.leader_work.notify_one();
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -5,6 +5,7 @@
 mod cut_off;
 mod cut_responses;
 mod deployment;
+mod ends_of_owners;
 mod faulty_targets;
 mod late_copies;
 mod limited_targets;
--- a/crates/decide/src/owners/manager.rs
+++ b/crates/decide/src/owners/manager.rs
@@ -272,24 +272,6 @@
         &self.ended
     }
 
-    /// Frees the keys of an incarnation whose process has ended.
-    pub fn mark_ended(&mut self, incarnation: &TargetIncarnation, now: Instant) {
-        let is_owned =
-            |state: &&mut AssignmentState| state.assignment.owner.as_ref() == Some(incarnation);
-        for state in self.states.iter_mut().filter(is_owned) {
-            state.mark_owner_ended(now);
-        }
-        self.ended.insert(incarnation.clone());
-    }
-
-    /// Returns the incarnations that own keys.
-    pub fn owners(&self) -> BTreeSet<&TargetIncarnation> {
-        let owners = self.states.iter();
-        owners
-            .filter_map(|it| it.assignment.owner.as_ref())
-            .collect()
-    }
-
     /// Returns whether an assignment begins with this key and awaits no new owner or fence.
     pub fn is_settled(&self, first: u16) -> bool {
         let state = self
