fix(views): the whole table of a new leader is no change of a follower's table

Cause: a leader's first read went out as a change from no version, which applied to any table. An instance that could not read the store meanwhile added and replaced targets by it, removed none, and counted as up to date, so that it did not read the store later.

Evidence: the instance logs no removal of the targets that had left, and no read of its own after the restart.

Fix: a message without a base version is applied like a read of the whole table, with the time for which missing targets are kept after a gap.

--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -125,7 +125,8 @@
         all.filter(move |view| &*view.report.service == service)
     }
 
-    /// Returns the snapshot after a read of the store that was sent at `sent_at`, and the changes.
+    /// Returns the snapshot after a read of the store that was sent at `sent_at`, here or at the leader, and the
+    /// changes.
     ///
     /// Reports that expired while the store was unavailable, or that a restored store lacks, are
     /// written again soon after it is available; until then missing targets are kept.
@@ -187,6 +188,12 @@
         if self.confirmed_at.is_none() || changes.is_empty() || self.store_version < base_version {
             return UpdateResult::Missed;
         }
+        if base_version.is_none() {
+            // The leader's first read is its whole table: what it lacks has no report.
+            let reports = changes.into_values().flatten().collect();
+            let (next, _) = self.with_reports(reports, version, (read_at.unwrap_or(now), now));
+            return UpdateResult::Changed(next);
+        }
         let draining = self.draining_after(&changes, now);
         UpdateResult::Changed(Self {
             views: self.apply_changes(&changes, &draining, now),
--- a/crates/cowslipcross/src/views/target_updates.rs
+++ b/crates/cowslipcross/src/views/target_updates.rs
@@ -49,7 +49,8 @@
     pub version: StoreVersion,
     /// Milliseconds since the leader's last read; `None` before the first.
     pub age_ms: Option<u64>,
-    /// Version to which the changes apply; none without any.
+    /// Version to which the changes apply. If there is none, the changes are the leader's whole table, from its
+    /// first read on.
     pub base_version: StoreVersion,
     /// Recent changes; empty if there are none or more than a heartbeat can have.
     pub changes: Vec<(Name, Option<WireTarget>)>,
--- a/crates/cowslipcross/src/views/target_updates_tests.rs
+++ b/crates/cowslipcross/src/views/target_updates_tests.rs
@@ -270,3 +270,19 @@
     let (snapshot, changes) = snapshot.with_reports(Vec::new(), at(12), (expired, expired));
     assert!(snapshot.get("a").is_none() && changes.contains_key("a"));
 }
+
+/// Guards against targets that are used after they have left: a leader that has just started tells its whole
+/// table, which is no change of the table of an instance that could not read the store meanwhile.
+#[test]
+fn the_table_of_a_leader_that_has_just_started_replaces_that_of_a_follower() {
+    let start = Instant::now();
+    let follower = read(&[target("a", false, 0), target("b", false, 0)], 9, start);
+    let mut leader = Leader::new();
+    let now = start + millis(1200);
+    leader.read(&[target("b", false, 0), target("c", false, 0)], 12, now);
+    let UpdateResult::Changed(next) = follower.apply_message(leader.send_message(now), now) else {
+        panic!("the table is another one");
+    };
+    let ids: Vec<_> = next.all().map(|it| it.report.id.to_string()).collect();
+    assert_eq!(ids, ["b", "c"]);
+}
