fix(views): the end of the time for which a missing target is kept is a reason to read the store

Cause: missing targets are kept for 2.3 s after a gap between reads, and removed by the next read. But the heartbeats confirm the follower's table, as nothing changes at the leader, so that no such read followed.

Fix: while the last read lacked targets that are kept, a read is due at the end of that time.

Test: views/target_updates_tests, failed before (due 3.5 s after the first read, and put off by each heartbeat).

--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -50,6 +50,8 @@
     confirmed_at: Option<Instant>,
     /// Until when missing targets are kept after a gap between reads.
     grace_until: Option<Instant>,
+    /// Whether the last read lacked targets that are kept.
+    has_missing: bool,
 }
 
 /// Result of applying a heartbeat's part about targets.
@@ -73,6 +75,7 @@
             changed_version: StoreVersion::NONE,
             confirmed_at: None,
             grace_until: None,
+            has_missing: false,
         }
     }
 
@@ -92,6 +95,14 @@
             .map(|at| now.saturating_duration_since(at))
     }
 
+    /// Returns when the targets have to be read from the store: `max_age` after the last confirmation, and once the
+    /// time is over for which missing ones are kept, of whose end no heartbeat tells; `None` before the first read.
+    pub fn read_due(&self, max_age: Duration) -> Option<Instant> {
+        let due = self.confirmed_at? + max_age;
+        let kept_until = self.grace_until.filter(|_| self.has_missing);
+        Some(kept_until.map_or(due, |until| until.min(due)))
+    }
+
     /// Returns whether all targets have a report; those that lack one are kept for some time after a gap
     /// between reads.
     pub fn is_complete(&self, now: Instant) -> bool {
@@ -143,8 +154,10 @@
         };
         let reports = reports.into_iter().map(|it| (it.id.clone(), it));
         let reports: BTreeMap<Name, TargetReport> = reports.collect();
-        let removed = self.views.keys().filter(|id| !reports.contains_key(*id));
-        let removed = removed.filter(|_| grace_until.is_none());
+        let missing = self.views.keys().filter(|id| !reports.contains_key(*id));
+        let missing: Vec<&Name> = missing.collect();
+        let has_missing = grace_until.is_some() && !missing.is_empty();
+        let removed = missing.into_iter().filter(|_| grace_until.is_none());
         let mut changes: TargetChanges = removed.map(|id| (id.clone(), None)).collect();
         let updated = reports
             .into_iter()
@@ -162,6 +175,7 @@
             changed_version: changed_version.max(self.changed_version),
             confirmed_at: self.confirmed_at.max(Some(sent_at)),
             grace_until,
+            has_missing,
         };
         (next, changes)
     }
@@ -202,6 +216,7 @@
             changed_version: version,
             confirmed_at,
             grace_until: self.grace_after(version, now),
+            has_missing: self.has_missing,
         })
     }
 
--- a/crates/cowslipcross/src/views/target_updates_tests.rs
+++ b/crates/cowslipcross/src/views/target_updates_tests.rs
@@ -286,3 +286,31 @@
     let ids: Vec<_> = next.all().map(|it| it.report.id.to_string()).collect();
     assert_eq!(ids, ["b", "c"]);
 }
+
+/// Guards against targets that are used after they have left: a follower that keeps one for a while, as it could
+/// not read the store, must not go on with it because nothing changes at the leader.
+#[test]
+fn targets_that_were_kept_for_a_while_are_read_again_whatever_the_leader_confirms() {
+    let start = Instant::now();
+    let all = [target("a", false, 0), target("b", false, 0)];
+    let mut leader = Leader::new();
+    leader.read(&all, 9, start);
+    let follower = read(&all, 9, start);
+    leader.read(&all[1..], 20, start + millis(600));
+    // The follower was cut off from the leader, too, and reads the store once it is back.
+    let back = start + millis(4000);
+    let (kept, _) = follower.with_reports(all[1..].to_vec(), at(30), (back, back));
+    assert!(kept.get("a").is_some());
+    let later = back + millis(2000);
+    leader.read(&all[1..], 40, later);
+    let UpdateResult::Confirmed(confirmed) = kept.apply_message(leader.send_message(later), later)
+    else {
+        panic!("the follower has read later than the leader's last change");
+    };
+    let due = confirmed.read_due(millis(1500)).expect("a table is known");
+    assert!(due <= back + millis(2300), "{:?}", due - back);
+    let (next, _) = confirmed.with_reports(all[1..].to_vec(), at(50), (due, due));
+    assert!(next.get("a").is_none());
+    // From then on heartbeats suffice.
+    assert_eq!(next.read_due(millis(1500)), Some(due + millis(1500)));
+}
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -55,8 +55,7 @@
         } else {
             SNAPSHOT_MAX_AGE
         };
-        let confirmed = context.targets.borrow().confirmed_at();
-        let Some(due) = confirmed.map(|at| at + max_age) else {
+        let Some(due) = context.targets.borrow().read_due(max_age) else {
             return;
         };
         if Instant::now() >= due {
