fix(serve): a response with a status that does not exist is no answer

Callers saw: a target's 101, 600 or 999 as the answer to their request, with its signature; 000, of which another operator reported, did not get through here, as hyper does not read it.

Cause: nothing checked the status; what the HTTP library reads passed for an answer.

Fix: statuses outside 200 to 599 count as no response, as the request may have run.

Test: instance, an_answer_with_a_status_that_does_not_exist_is_not_passed_on; failed before (101 in place of 502; the three lines before it, 000 and 099 among them, passed). Requests of both kinds run once and end with 502.

--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -316,6 +316,9 @@
     mut response: Response<Incoming>,
     request: &TargetRequest<'_>,
 ) -> ExchangeOutcome {
+    if !headers::is_final_status(response.status()) {
+        return ExchangeOutcome::Broken("status of no final response");
+    }
     let target = path.target;
     let kind = match path.relay {
         Some(_) => ConnectionKind::Instance,
--- a/crates/cowslipcross/tests/instance/main.rs
+++ b/crates/cowslipcross/tests/instance/main.rs
@@ -10,6 +10,7 @@
 mod late_copies;
 mod limited_targets;
 mod odd_reports;
+mod odd_statuses;
 mod operators;
 mod organisations;
 mod requests;
