fix(serve): a target's 503, 429 or 408 that is no refusal is not passed on

Callers saw: the promise that their request has not run, for a request that has (REFUSED): a target ran it and answered with one of these statuses without the header by which targets say that they did not.

Cause: any response without that header passed for an answer, whatever its status.

Fix: such a response counts as no response; its connection is kept under the same conditions as after a server error.

Test: instance, odd_statuses, failed before (503 in place of 502, for each kind of request).

--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -11,6 +11,7 @@
     bytes::Bytes,
     cowslip_adapter::{
         body_reader::{self, BodyError},
+        commands,
         headers::{self, ResponseMetadata},
         interim_responses::InterimResponses,
     },
@@ -359,8 +360,8 @@
         )
         .await;
     }
-    let is_signed = metadata.signed || !response.status().is_success();
-    let fate = match response.status().is_server_error() || !is_signed {
+    let defect = find_defect(response.status(), &metadata);
+    let fate = match response.status().is_server_error() || defect.is_some() {
         true => active.record_unsettled(request, true),
         false => ConnectionFate::Keep,
     };
@@ -373,8 +374,8 @@
         Err(_) => return ExchangeOutcome::Broken("response truncated or too long"),
     };
     active.finish(&metadata, fate);
-    if !is_signed {
-        return ExchangeOutcome::Broken("response without a signature");
+    if let Some(defect) = defect {
+        return ExchangeOutcome::Broken(defect);
     }
     // Refusals need not name the limit.
     if metadata.rate_limit.is_none() {
@@ -383,6 +384,15 @@
     ExchangeOutcome::Completed(TargetResponse::new(&head, body))
 }
 
+/// Returns why a response that is no refusal must not be passed on; `None` if it may be.
+fn find_defect(status: StatusCode, metadata: &ResponseMetadata) -> Option<&'static str> {
+    if status.is_success() && !metadata.signed {
+        return Some("response without a signature");
+    }
+    // To the caller the status would say that the request has not run, which the target has not said.
+    commands::is_not_executed(status.as_u16()).then_some("status of a refusal that is none")
+}
+
 /// Reads the body of a refusal; without it, the connection is not used again.
 async fn receive_refusal(
     reservation: MemoryReservation,
--- a/crates/cowslipcross/tests/instance/odd_statuses.rs
+++ b/crates/cowslipcross/tests/instance/odd_statuses.rs
@@ -62,3 +62,16 @@
     ])
     .await;
 }
+
+/// Guards against a false promise: to a caller these statuses say that its request has not run, which the target
+/// has not said without the header for that.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_status_promises_that_nothing_ran_is_not_passed_on_without_the_target_saying_so()
+ {
+    check_statuses(&[
+        "503 Service Unavailable",
+        "429 Too Many Requests",
+        "408 Request Timeout",
+    ])
+    .await;
+}
