fix(platform): a status alone does not tell that a target did not apply a grant

Callers would see: keys with two owners (OWNER). A target that applies a grant and answers 503, 429 or 408 without saying that it did not counted as never asked, so that its keys could go to another one while it holds them.

Cause: for commands these statuses counted as a refusal by themselves; only the header for it, or a 421, says so.

Fix: a command that is answered otherwise has an unknown outcome. Error::Rejected now always means that nothing ran.

--- a/crates/cowslipcross/src/lead/command_sender.rs
+++ b/crates/cowslipcross/src/lead/command_sender.rs
@@ -140,15 +140,12 @@
         Error::Misdirected => CommandOutcome::TargetEnded,
         // A refused connection does not mean that the process has ended: a target at its connection
         // limit refuses further ones, too.
-        Error::ConnectRefused | Error::NotSent(_) => CommandOutcome::Unsent,
-        Error::Rejected { status, .. } if commands::is_not_executed(*status) => {
+        Error::ConnectRefused | Error::NotSent(_) | Error::Rejected { .. } => {
             CommandOutcome::Unsent
         }
-        // A faulty target may send any other response although it has run the command.
-        Error::Rejected { .. }
-        | Error::OutcomeUnknown(_)
-        | Error::Malformed { .. }
-        | Error::Restored { .. } => CommandOutcome::Unknown,
+        Error::OutcomeUnknown(_) | Error::Malformed { .. } | Error::Restored { .. } => {
+            CommandOutcome::Unknown
+        }
     }
 }
 
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -11,7 +11,6 @@
     bytes::Bytes,
     cowslip_adapter::{
         body_reader::{self, BodyError},
-        commands,
         headers::{self, ResponseMetadata},
         interim_responses::InterimResponses,
     },
@@ -390,7 +389,7 @@
         return Some("response without a signature");
     }
     // To the caller the status would say that the request has not run, which the target has not said.
-    commands::is_not_executed(status.as_u16()).then_some("status of a refusal that is none")
+    headers::is_promise(status).then_some("status of a refusal that is none")
 }
 
 /// Reads the body of a refusal; without it, the connection is not used again.
--- a/crates/cowslipcross/tests/instance/odd_statuses.rs
+++ b/crates/cowslipcross/tests/instance/odd_statuses.rs
@@ -14,6 +14,9 @@
 
 const PROCESSING_TIME: Duration = Duration::from_millis(20);
 
+/// Returns a request with this id and key.
+type BuildRequest = fn(&str, u64) -> Request<Full<Bytes>>;
+
 /// Sends a request of each kind for each status line that the target answers with, after having run the request;
 /// each has to end as if there had been no answer.
 async fn check_statuses(status_lines: &[&str]) {
@@ -31,7 +34,7 @@
     })
     .await;
     deployment.hand_over_boards(&target).await;
-    let kinds: [fn(&str, u64) -> Request<Full<Bytes>>; 2] = [lookup_request, removal_request];
+    let kinds: [BuildRequest; 2] = [lookup_request, removal_request];
     for (number, line) in status_lines.iter().enumerate() {
         *status_line.lock().expect("a status") = (*line).to_owned();
         for (kind, request) in kinds.iter().enumerate() {
