fix(views): a table of a restored store is not confirmed by what the leader read before it

Cause: a follower that had read the copy of the store counted as later than the leader, whose table was from before, and took the leader's heartbeats for confirmations; changes since before the restoration applied to the copy's table.

Fix: a leader's table of an earlier era says nothing of a table of the present one; changes apply only to a table of their base's era; the leader's first read in an era counts as a change, so that those who read before it read again.

--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -43,7 +43,7 @@
     draining: Rc<BTreeMap<TargetIncarnation, Instant>>,
     /// Store version up to which all reports are included.
     store_version: StoreVersion,
-    /// Version of the store at the last change.
+    /// Version of the store at the last change, or at the first read in its era if that is later.
     changed_version: StoreVersion,
     /// When the last read that confirmed the snapshot was sent, here or at the leader; `None`
     /// before the first read.
@@ -63,6 +63,8 @@
     Changed(TargetSnapshot),
     /// Changes were missed; the targets have to be read from the store.
     Missed,
+    /// The leader has not read the restored store that the snapshot is of; its message says nothing of it.
+    Unrelated,
 }
 
 impl TargetSnapshot {
@@ -109,7 +111,7 @@
         self.grace_until.is_none_or(|until| until <= now)
     }
 
-    /// Returns the version of the store at the last change.
+    /// Returns the version of the store at the last change, or at the first read in its era if that is later.
     pub fn changed_version(&self) -> StoreVersion {
         self.changed_version
     }
@@ -163,9 +165,11 @@
             .into_iter()
             .filter(|(_, it)| self.is_changed(it, now));
         changes.extend(updated.map(|(id, it)| (id, Some(it))));
-        let changed_version = match changes.is_empty() {
-            true => self.changed_version,
-            false => version,
+        // Other instances may have read a restored store at another moment than this one.
+        let is_changed = !changes.is_empty() || version.era > self.store_version.era;
+        let changed_version = match is_changed {
+            true => version,
+            false => self.changed_version,
         };
         let draining = self.draining_after(&changes, now);
         let next = Self {
@@ -189,6 +193,9 @@
         let read_at = now.checked_sub(Duration::from_millis(age_ms));
         let (version, base_version) = (message.version, message.base_version);
         let confirmed_at = self.confirmed_at.max(read_at);
+        if version.era < self.store_version.era {
+            return UpdateResult::Unrelated;
+        }
         if self.confirmed_at.is_some() && self.store_version >= version {
             // Reads here have included the leader's last change already.
             let changed_version = version.max(self.changed_version);
@@ -199,7 +206,7 @@
             });
         }
         let changes = message.into_changes();
-        if self.confirmed_at.is_none() || changes.is_empty() || self.store_version < base_version {
+        if self.confirmed_at.is_none() || changes.is_empty() {
             return UpdateResult::Missed;
         }
         if base_version.is_none() {
@@ -208,6 +215,11 @@
             let (next, _) = self.with_reports(reports, version, (read_at.unwrap_or(now), now));
             return UpdateResult::Changed(next);
         }
+        // A table of a restored store may lack changes that the base of these has.
+        let follows_base = self.store_version.era == base_version.era;
+        if !follows_base || self.store_version < base_version {
+            return UpdateResult::Missed;
+        }
         let draining = self.draining_after(&changes, now);
         UpdateResult::Changed(Self {
             views: self.apply_changes(&changes, &draining, now),
--- a/crates/cowslipcross/src/views/target_updates_tests.rs
+++ b/crates/cowslipcross/src/views/target_updates_tests.rs
@@ -14,6 +14,11 @@
     StoreVersion { era: 0, number }
 }
 
+/// Returns a version of the store after its first restoration.
+fn restored_at(number: u64) -> StoreVersion {
+    StoreVersion { era: 1, number }
+}
+
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -48,10 +53,14 @@
     }
 
     fn read(&mut self, reports: &[TargetReport], version: u64, now: Instant) {
+        self.read_version(reports, at(version), now);
+    }
+
+    fn read_version(&mut self, reports: &[TargetReport], version: StoreVersion, now: Instant) {
         let before = self.snapshot.changed_version();
         let (next, changes) = self
             .snapshot
-            .with_reports(reports.to_vec(), at(version), (now, now));
+            .with_reports(reports.to_vec(), version, (now, now));
         if !changes.is_empty() {
             self.updates
                 .add_update((before, next.changed_version()), changes);
@@ -314,3 +323,51 @@
     // From then on heartbeats suffice.
     assert_eq!(next.read_due(millis(1500)), Some(due + millis(1500)));
 }
+
+/// Lets a leader and a follower know that `a` has left, and the follower then read a copy of the store in which it
+/// has not; returns the leader, the follower and the time after that.
+fn restore_with_a() -> (Leader, TargetSnapshot, Instant) {
+    let start = Instant::now();
+    let all = [target("a", false, 0), target("b", false, 0)];
+    let mut leader = Leader::new();
+    leader.read(&all, 9, start);
+    leader.read(&all[1..], 20, start + millis(600));
+    // The heartbeats with these changes are over.
+    (0..2).for_each(|_| drop(leader.send_message(start + millis(600))));
+    let follower = read(&all[1..], 21, start + millis(610));
+    let now = start + millis(1200);
+    let (follower, _) = follower.with_reports(all.to_vec(), restored_at(12), (now, now));
+    (leader, follower, now)
+}
+
+/// Guards against targets that are used after they have left: the leader, which has not read the copy of the store
+/// with their reports, sees no change.
+#[test]
+fn a_table_of_a_restored_store_is_not_confirmed_by_reads_before_and_after_it() {
+    let (mut leader, follower, now) = restore_with_a();
+    let confirmed_at = follower.confirmed_at();
+    let later = now + millis(300);
+    let before = follower.apply_message(leader.send_message(later), later);
+    assert!(matches!(before, UpdateResult::Unrelated), "{before:?}");
+    leader.read_version(&[target("b", false, 0)], restored_at(14), later);
+    let after = follower.apply_message(leader.send_message(later), later);
+    assert!(matches!(after, UpdateResult::Missed), "{after:?}");
+    assert_eq!(follower.confirmed_at(), confirmed_at);
+    // A follower that has read the copy after the leader knows as much.
+    let (current, _) =
+        follower.with_reports(vec![target("b", false, 0)], restored_at(15), (later, later));
+    let current = current.apply_message(leader.send_message(later), later);
+    assert!(matches!(current, UpdateResult::Confirmed(_)), "{current:?}");
+}
+
+/// Guards against tables that mix the reports of a copy of the store with later changes.
+#[test]
+fn changes_since_before_a_restoration_do_not_apply_to_the_table_of_the_restored_store() {
+    let (mut leader, follower, now) = restore_with_a();
+    let reports = [target("b", false, 0), target("c", false, 0)];
+    leader.read_version(&reports, restored_at(14), now);
+    let message = leader.send_message(now);
+    assert_eq!(message.changes.len(), 1);
+    let result = follower.apply_message(message, now);
+    assert!(matches!(result, UpdateResult::Missed), "{result:?}");
+}
--- a/crates/cowslipcross/src/views/targets.rs
+++ b/crates/cowslipcross/src/views/targets.rs
@@ -103,6 +103,7 @@
         UpdateResult::Confirmed(kept) => store_snapshot(context, kept),
         UpdateResult::Changed(next) => replace_snapshot(context, &previous, next),
         UpdateResult::Missed => context.updates_missed.notify_waiters(),
+        UpdateResult::Unrelated => {}
     }
 }
 
