fix(serve): a long body of unknown length is kept in pieces, not copied as it grows

Cause: the body counts with its length, but it grew by being copied into a piece of twice the size; for that time half as much again is held, and the heap keeps the memory of the freed pieces, of up to 16 MB each.

--- a/crates/cowslipcross/src/endpoints.rs
+++ b/crates/cowslipcross/src/endpoints.rs
@@ -9,7 +9,6 @@
     bytes::Bytes,
     cowslip_adapter::{metered_stream::MIN_READ_BUFFER_BYTES, paths::READINESS_PATH},
     http::{HeaderMap, Request, Response, StatusCode, header},
-    http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     serde::Serialize,
@@ -50,7 +49,7 @@
 fn render_page(context: &Context, request: &Request<Incoming>) -> Response<ResponseBody> {
     match request.uri().path() {
         "/healthz" => plain(StatusCode::OK, "ok"),
-        "/metrics" => Response::new(Full::new(context.metrics.render(context).into())),
+        "/metrics" => Response::new(Bytes::from(context.metrics.render(context)).into()),
         "/status" | "/events" if !is_authorized(request.headers(), &context.settings.token) => {
             plain(StatusCode::UNAUTHORIZED, "token missing or wrong")
         }
@@ -129,7 +128,7 @@
 fn json(value: &impl Serialize) -> Response<ResponseBody> {
     match serde_json::to_vec(value) {
         Ok(body) => {
-            let mut response = Response::new(Full::new(body.into()));
+            let mut response = Response::new(Bytes::from(body).into());
             let content_type = header::HeaderValue::from_static("application/json");
             response
                 .headers_mut()
@@ -141,7 +140,7 @@
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut response = Response::new(Bytes::from_static(text.as_bytes()).into());
     *response.status_mut() = status;
     response
 }
--- a/crates/cowslipcross/src/serve/caller_response.rs
+++ b/crates/cowslipcross/src/serve/caller_response.rs
@@ -3,15 +3,14 @@
 use {
     crate::serve::{exchange::TargetResponse, request::BadRequest},
     bytes::Bytes,
-    cowslip_adapter::headers,
+    cowslip_adapter::{headers, held_body::HeldBody},
     cowslip_decide::verdict::{Reason, Verdict},
     http::{HeaderValue, Response, StatusCode, header},
-    http_body_util::Full,
     std::{ops::RangeInclusive, time::Duration},
 };
 
 /// Body of every response to a caller.
-pub type ResponseBody = Full<Bytes>;
+pub type ResponseBody = HeldBody;
 
 /// Part of a caller's remaining time to which `retry-after` is limited. Callers follow it only up
 /// to one third of that time; 0.3 stays below.
@@ -128,7 +127,7 @@
 }
 
 fn forwarded_response(received: TargetResponse) -> Response<ResponseBody> {
-    let mut response = Response::new(Full::new(received.body));
+    let mut response = Response::new(received.body);
     *response.status_mut() = received.status;
     *response.headers_mut() = received.headers;
     response
@@ -144,7 +143,7 @@
 }
 
 fn text_response(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut response = Response::new(Bytes::from_static(text.as_bytes()).into());
     *response.status_mut() = status;
     let content_type = HeaderValue::from_static("text/plain");
     response
--- a/crates/cowslipcross/src/serve/exchange.rs
+++ b/crates/cowslipcross/src/serve/exchange.rs
@@ -12,6 +12,7 @@
     cowslip_adapter::{
         body_reader::{self, BodyError},
         headers::{self, ResponseMetadata},
+        held_body::HeldBody,
         interim_responses::InterimResponses,
     },
     cowslip_decide::{
@@ -79,7 +80,7 @@
     /// Headers to pass on to the caller.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: HeldBody,
 }
 
 impl TargetRequest<'_> {
@@ -89,7 +90,7 @@
 }
 
 impl TargetResponse {
-    fn new(head: &response::Parts, body: Bytes) -> Self {
+    fn new(head: &response::Parts, body: HeldBody) -> Self {
         let mut headers = headers::copy_end_to_end(&head.headers);
         headers.remove(header::CONTENT_LENGTH);
         Self {
@@ -366,7 +367,7 @@
     };
     let (head, body) = response.into_parts();
     // The caller of this function sets the time limit.
-    let read = body_reader::read_body(body, budget.body_reservation(kind), MAX_RESPONSE_BYTES);
+    let read = body_reader::read_pieces(body, budget.body_reservation(kind), MAX_RESPONSE_BYTES);
     let body = match read.await {
         Ok(body) => body,
         Err(BodyError::NoMemory) => return ExchangeOutcome::Broken("no memory for the response"),
@@ -404,7 +405,7 @@
     let fate = active.record_unsettled(request, has_id);
     let (head, body) = response.into_parts();
     let usage = active.connection.as_ref().map(|it| it.usage);
-    let read = body_reader::read_body(body, reservation, MAX_RESPONSE_BYTES);
+    let read = body_reader::read_pieces(body, reservation, MAX_RESPONSE_BYTES);
     let body = timeout(REFUSAL_BODY_TIMEOUT, read).await;
     let body = body.ok().and_then(Result::ok);
     if body.is_some() {
--- a/crates/cowslipcross/src/serve/relay_server.rs
+++ b/crates/cowslipcross/src/serve/relay_server.rs
@@ -13,15 +13,14 @@
             target_path, target_selection,
         },
     },
-    bytes::Bytes,
     cowslip_adapter::{
         body_reader, headers,
+        held_body::HeldBody,
         http_client::MAX_READ_BUFFER_BYTES,
         metered_stream::{self, MeteredStream},
     },
     cowslip_decide::{memory_budget::ConnectionKind, names::Name, owners::TargetIncarnation},
     http::{HeaderMap, HeaderValue, Response, StatusCode, header, request::Parts},
-    http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{fmt, net::IpAddr, rc::Rc, time::Duration},
@@ -96,7 +95,7 @@
     context: Rc<Context>,
     request: http::Request<Incoming>,
     from: IpAddr,
-) -> Result<Response<Full<Bytes>>, NoResponse> {
+) -> Result<Response<HeldBody>, NoResponse> {
     let _active = CounterGuard::new(&context.active_requests);
     let (mut parts, body) = request.into_parts();
     let relay = relay_headers::take_request(&mut parts.headers);
@@ -177,7 +176,7 @@
     parts: Parts,
     body: Incoming,
     idempotent: bool,
-) -> Result<Response<Full<Bytes>>, NoResponse> {
+) -> Result<Response<HeldBody>, NoResponse> {
     let denied = || Ok(reply_response(&RelayReply::Denied));
     let Some((id, deadline)) = read_head(&parts.headers) else {
         return denied();
@@ -241,9 +240,9 @@
     Some((id, Instant::now().checked_add(remaining)?))
 }
 
-fn target_response(context: &Context, response: TargetResponse) -> Response<Full<Bytes>> {
+fn target_response(context: &Context, response: TargetResponse) -> Response<HeldBody> {
     let reply = RelayReply::PassedOn(context.settings.data_centre.clone());
-    let mut passed_on = Response::new(Full::new(response.body));
+    let mut passed_on = Response::new(response.body);
     *passed_on.status_mut() = response.status;
     *passed_on.headers_mut() = response.headers;
     passed_on
@@ -252,7 +251,7 @@
     passed_on
 }
 
-fn reply_response(reply: &RelayReply) -> Response<Full<Bytes>> {
+fn reply_response(reply: &RelayReply) -> Response<HeldBody> {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     response
         .headers_mut()
@@ -260,8 +259,8 @@
     response
 }
 
-fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn empty_response(status: StatusCode) -> Response<HeldBody> {
+    let mut response = Response::new(HeldBody::default());
     *response.status_mut() = status;
     response
 }
--- a/crates/cowslipcross/tests/instance/faulty_targets.rs
+++ b/crates/cowslipcross/tests/instance/faulty_targets.rs
@@ -23,6 +23,10 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(890);
 /// Time for sending a request, which a time to return may be short by.
 const SENDING_TIME: Duration = Duration::from_millis(100);
+/// Memory of the smallest instances, in MiB.
+const SMALL_MEMORY_MIB: u32 = 120;
+/// Time for which targets send bytes without end.
+const ENDLESS_TIME: Duration = Duration::from_secs(8);
 /// Memory of the smallest instances, in bytes.
 const INSTANCE_MEMORY_BYTES: u64 = 160 << 20;
 
@@ -33,17 +37,22 @@
     for target in &deployment.crews {
         target.remove_report(&deployment.store);
     }
+    publish_endless(&deployment, &server, "crews", slots);
+    // Long enough for the instance to read these rows.
+    sleep(Duration::from_millis(1000)).await;
+    (deployment, server)
+}
+
+/// Writes the report of a target of a service that sends bytes without end.
+fn publish_endless(deployment: &Deployment, server: &EndlessServer, service: &str, slots: u32) {
     let report = json!({
-        "Service": "crews", "Address": server.address.to_string(), "Zone": "west",
+        "Service": service, "Address": server.address.to_string(), "Zone": "west",
         "Version": "v1", "Slots": slots, "State": "ready", "ColdRemaining": "0ms",
         "Sequence": 1, "born": 1,
     });
-    deployment
-        .store
-        .put("servers", "endless", report.to_string().as_bytes());
-    // Long enough for the instance to read these rows.
-    sleep(Duration::from_millis(1000)).await;
-    (deployment, server)
+    let key = format!("endless-{service}");
+    let report = report.to_string();
+    deployment.store.put("servers", &key, report.as_bytes());
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -90,6 +99,47 @@
     assert_eq!(response.expect("a response").status, StatusCode::OK);
 }
 
+/// Guards against an instance that keeps what is no answer, in a head or a body, until it runs out of memory, and with
+/// it the requests of others: one target sends such bytes to requests, another one to commands.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_do_not_exhaust_the_memory_in_any_part_of_an_answer() {
+    let checks = EndlessPart::ALL.map(|part| async move {
+        let deployment = Deployment::start_with_memory(SMALL_MEMORY_MIB, PROCESSING_TIME).await;
+        let (crew, board) = tokio::join!(EndlessServer::start(part), EndlessServer::start(part));
+        deployment.crews[0].remove_report(&deployment.store);
+        publish_endless(&deployment, &crew, "crews", 100);
+        publish_endless(&deployment, &board, "boards", 2);
+        deployment.boards[0].publish_report(&deployment.store, "draining");
+        sleep(Duration::from_millis(1000)).await;
+        let instance = &deployment.instances[0];
+        let start = Instant::now();
+        let mut number = 0;
+        while start.elapsed() < ENDLESS_TIME {
+            let ids = number..number + 40;
+            number = ids.end;
+            let sends = ids.map(|id| instance.send(booking_request(&format!("e{id}"))));
+            for response in join_all(sends).await {
+                assert!(response.is_some(), "{part:?}: a request without an answer");
+            }
+        }
+        let peak = instance.peak_memory();
+        let limit = u64::from(SMALL_MEMORY_MIB) << 20;
+        assert!(peak < limit, "{part:?}: {peak} bytes");
+        assert!(
+            board.connection_count() > 0,
+            "{part:?}: no command was sent"
+        );
+        // The instance is the same process as before, and serves others.
+        deployment.store.remove("servers", "endless-crews");
+        wait_until(|| async {
+            let response = instance.send(booking_request("after")).await;
+            response.is_some_and(|it| it.status == StatusCode::OK)
+        })
+        .await;
+    });
+    join_all(checks).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_announces_its_stop_in_a_response_gets_no_further_requests() {
     let deployment = Deployment::start(2, 2, 2, PROCESSING_TIME).await;
