fix(lead): the acceptance of a higher fence is not taken from a copy

Callers would see: keys with two owners (OWNER).

Cause: once an owner has accepted a higher fence, an earlier grant without a response counts as refused. A copy of the confirmation of another grant passed for that acceptance, as confirmations bear no id.

--- a/crates/cowslipcross/src/lead/command_sender.rs
+++ b/crates/cowslipcross/src/lead/command_sender.rs
@@ -84,13 +84,19 @@
         let clients = self.target_clients(context, &owner.id);
         let clients = clients.ok_or_else(|| not_sent_error("target address unknown"))?;
         match command {
-            Command::Grant { ttl, handover, .. } => {
+            Command::Grant {
+                ttl,
+                handover,
+                is_fencing,
+                ..
+            } => {
                 let grant = Grant {
                     first: assignment.first,
                     last: assignment.last,
                     fence: assignment.fence,
                     ttl: *ttl,
                     handover: handover.clone(),
+                    is_fencing: *is_fencing,
                 };
                 let client = clients.grants.lock().await;
                 if !may_send() {
@@ -136,7 +142,7 @@
 
 fn outcome_of_error(error: &Error) -> CommandOutcome {
     match error {
-        // Another target has the address: the owner's process has ended.
+        // Another target has the owner's address: its process has ended.
         Error::Misdirected => CommandOutcome::TargetEnded,
         // A refused connection does not mean that the process has ended: a target at its connection
         // limit refuses further ones, too.
--- a/crates/decide/src/owners/manager.rs
+++ b/crates/decide/src/owners/manager.rs
@@ -84,6 +84,8 @@
         ttl: Duration,
         /// Handover data that the previous owner returned with its release.
         handover: Option<Name>,
+        /// Whether its acceptance tells that the owner refuses a late grant from then on.
+        is_fencing: bool,
     },
     /// Releases the keys from their owner.
     Release {
@@ -339,6 +341,7 @@
                     assignment,
                     ttl,
                     handover: state.handover.clone(),
+                    is_fencing: state.is_fence_pending(),
                 },
             });
         }
