fix(lead): a 421 proves an end only at the address of the owner's own start

Callers would see: keys with two owners (OWNER).

Cause: commands go to the address that is known for the owner's id. If that is the address of a later start, or one that another writer has reported, the process there answers 421, which passed for the end of the owner.

Fix: there a 421 only means that the command did not run; the keys are free once the owner's grant has expired.

Test: instance, ends_of_owners, failed before (keys with two owners).

--- a/crates/cowslipcross/src/lead/command_sender.rs
+++ b/crates/cowslipcross/src/lead/command_sender.rs
@@ -63,7 +63,15 @@
         let result = match &assignment.owner {
             Some(owner) => {
                 let may_send = || context.is_leader() && is_current();
-                self.send_to_owner(context, command, owner, may_send).await
+                let is_own_address = context.target_addresses.borrow().get(owner).is_some();
+                let sent = self.send_to_owner(context, command, owner, may_send).await;
+                match sent {
+                    // The address is that of a later start, or of somebody who only claims to be one.
+                    Err(Error::Misdirected) if !is_own_address => {
+                        Err(not_sent_error("the owner's own address is unknown"))
+                    }
+                    sent => sent,
+                }
             }
             None => Err(not_sent_error("keys have no owner")),
         };
--- a/crates/cowslipcross/tests/instance/ends_of_owners.rs
+++ b/crates/cowslipcross/tests/instance/ends_of_owners.rs
@@ -19,10 +19,14 @@
     (0..=65_535u64).step_by(251)
 }
 
-/// Writes a complete report of a process of a service that is in no configuration.
-fn publish_foreign_report(deployment: &Deployment, key: &str, address: SocketAddr) {
+/// Writes a complete report that no target has written.
+fn publish_foreign_report(
+    deployment: &Deployment,
+    (key, service): (&str, &str),
+    address: SocketAddr,
+) {
     let report = json!({
-        "Service": "agent", "Address": address.to_string(), "Zone": "west", "Version": "v1",
+        "Service": service, "Address": address.to_string(), "Zone": "west", "Version": "v1",
         "Slots": 1, "State": "ready", "ColdRemaining": "0ms", "Sequence": 1, "born": LATER_START,
     });
     let report = report.to_string();
@@ -50,7 +54,7 @@
 async fn a_report_of_no_service_does_not_end_the_owner_at_its_address() {
     let deployment = Deployment::start(2, 2, 2, PROCESSING_TIME).await;
     let owner = &deployment.boards[0];
-    publish_foreign_report(&deployment, "agent-0", owner.address());
+    publish_foreign_report(&deployment, ("agent-0", "agent"), owner.address());
     // The instances know the entry before the report of the owner is gone.
     sleep(Duration::from_secs(2)).await;
     owner.remove_report(&deployment.store);
@@ -63,6 +67,16 @@
 async fn a_process_at_another_address_does_not_tell_that_an_owner_has_ended() {
     let deployment = Deployment::start(2, 2, 2, PROCESSING_TIME).await;
     let (owner, other) = (&deployment.boards[0], &deployment.crews[0]);
-    publish_foreign_report(&deployment, "b0", other.address());
+    publish_foreign_report(&deployment, ("b0", "agent"), other.address());
+    check_owners(&deployment, owner).await;
+}
+
+/// Guards against keys with two owners: the same with a report for the service of the owner. The process at its address
+/// tells nothing of an earlier one under the id of the owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_at_the_address_of_a_later_start_does_not_tell_that_an_owner_has_ended() {
+    let deployment = Deployment::start(2, 2, 2, PROCESSING_TIME).await;
+    let (owner, other) = (&deployment.boards[0], &deployment.crews[0]);
+    publish_foreign_report(&deployment, ("b0", "boards"), other.address());
     check_owners(&deployment, owner).await;
 }
