fix(views): a restored store does not bring back targets that were known to have left

Callers saw: requests at targets that had left, for up to 2.4 s after a restoration, at instances that had read of their leaving (DRAIN, also while the store is in disturbance); keys refused for as long where the copy named an earlier start of their owner.

Cause: the first table that is read of a restored store replaced what was known, but for targets that it lacks.

Fix: while missing targets are kept, reports of the copy that contradict what was known are not used, unless the target writes another one; then it counts as cold, as before, if it did not.

Tests: views/target_snapshot_tests, two new ones, failed without the change. Two tests are changed: a report that comes back is told from the others once it is used, no longer at once; and changes that do not apply to a restored table are shown with a target that drains, as a new one is held back for that time. Both check as much as before.

--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -52,6 +52,16 @@
     grace_until: Option<Instant>,
     /// Whether the last read lacked targets that are kept.
     has_missing: bool,
+    /// Reports of a restored store that contradict what was known before, as of targets that have left: not used while
+    /// missing targets are kept, unless the target writes another one.
+    held_back: Rc<BTreeMap<Name, ReportNumber>>,
+}
+
+/// Which of a target's reports it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReportNumber {
+    incarnation: u64,
+    sequence: u64,
 }
 
 /// Result of applying a heartbeat's part about targets.
@@ -78,6 +88,7 @@
             confirmed_at: None,
             grace_until: None,
             has_missing: false,
+            held_back: Rc::default(),
         }
     }
 
@@ -98,10 +109,12 @@
     }
 
     /// Returns when the targets have to be read from the store: `max_age` after the last confirmation, and once the
-    /// time is over for which missing ones are kept, of whose end no heartbeat tells; `None` before the first read.
+    /// time is over for which missing ones are kept and reports held back, of whose end no heartbeat tells; `None` before
+    /// the first read.
     pub fn read_due(&self, max_age: Duration) -> Option<Instant> {
         let due = self.confirmed_at? + max_age;
-        let kept_until = self.grace_until.filter(|_| self.has_missing);
+        let is_provisional = self.has_missing || !self.held_back.is_empty();
+        let kept_until = self.grace_until.filter(|_| is_provisional);
         Some(kept_until.map_or(due, |until| until.min(due)))
     }
 
@@ -155,7 +168,13 @@
             false => self.grace_after(version, now),
         };
         let reports = reports.into_iter().map(|it| (it.id.clone(), it));
-        let reports: BTreeMap<Name, TargetReport> = reports.collect();
+        let mut reports: BTreeMap<Name, TargetReport> = reports.collect();
+        let held_back = match grace_until {
+            Some(_) if version.era > self.store_version.era => self.contradicting(&reports),
+            Some(_) => self.held_back.clone(),
+            None => Rc::default(),
+        };
+        reports.retain(|id, it| held_back.get(id) != Some(&ReportNumber::from(&*it)));
         let missing = self.views.keys().filter(|id| !reports.contains_key(*id));
         let missing: Vec<&Name> = missing.collect();
         let has_missing = grace_until.is_some() && !missing.is_empty();
@@ -180,6 +199,7 @@
             confirmed_at: self.confirmed_at.max(Some(sent_at)),
             grace_until,
             has_missing,
+            held_back,
         };
         (next, changes)
     }
@@ -229,6 +249,7 @@
             confirmed_at,
             grace_until: self.grace_after(version, now),
             has_missing: self.has_missing,
+            held_back: self.held_back.clone(),
         })
     }
 
@@ -242,15 +263,34 @@
         }
     }
 
+    /// Returns the reports of a store that has just been restored that contradict this snapshot: of targets that it does
+    /// not have, which may have left since the backup, and of earlier starts of those that it has.
+    fn contradicting(
+        &self,
+        reports: &BTreeMap<Name, TargetReport>,
+    ) -> Rc<BTreeMap<Name, ReportNumber>> {
+        let is_known = |report: &TargetReport| {
+            let view = self.get(&report.id);
+            view.is_some_and(|it| it.report.incarnation <= report.incarnation)
+        };
+        let contradicting = reports.iter().filter(|(_, it)| !is_known(it));
+        let numbers = contradicting.map(|(id, it)| (id.clone(), ReportNumber::from(it)));
+        Rc::new(numbers.collect())
+    }
+
     /// Returns the targets whose reports have come back with a restored store since an earlier snapshot. They may have
     /// ended before, and started anew without a report yet.
     pub fn returned_since(&self, earlier: &Self) -> Vec<TargetIncarnation> {
-        if !earlier.is_known() || self.store_version.era <= earlier.store_version.era {
-            return Vec::new();
-        }
-        let all = self.views.values().map(TargetView::target_incarnation);
-        all.filter(|it| earlier.get_incarnation(it).is_none())
-            .collect()
+        let is_restored = earlier.is_known() && self.store_version.era > earlier.store_version.era;
+        let is_released = |report: &TargetReport| {
+            let held_back = earlier.held_back.get(&report.id);
+            held_back == Some(&ReportNumber::from(report))
+        };
+        let unknown = self.views.values().filter(|view| {
+            let known = earlier.get_incarnation(&view.target_incarnation());
+            known.is_none() && (is_restored || is_released(&view.report))
+        });
+        unknown.map(TargetView::target_incarnation).collect()
     }
 
     /// Returns the snapshot after an incarnation has announced by other means than its report that
@@ -359,6 +399,15 @@
     }
 }
 
+impl From<&TargetReport> for ReportNumber {
+    fn from(report: &TargetReport) -> Self {
+        Self {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+        }
+    }
+}
+
 fn target_incarnation(report: &TargetReport) -> TargetIncarnation {
     TargetIncarnation {
         id: report.id.clone(),
