--- a/crates/decide/src/owners/manager.rs
+++ b/crates/decide/src/owners/manager.rs
@@ -9,8 +9,10 @@
 
 use {
     super::{
+        previous_leaders::{PreviousLeaders, StoreTimeBound},
         state::{AssignmentState, CLOCK_MARGIN, MAX_UNANSWERED},
         table::{Assignment, AssignmentTable, TargetIncarnation},
+        timing::{CommandTiming, max_grant_lifetime},
     },
     crate::names::{Fence, Name},
     std::{
@@ -20,50 +22,6 @@
     tokio::time::Instant,
 };
 
-/// Intervals and limits of the commands to targets.
-#[derive(Clone, Copy, Debug)]
-pub struct CommandTiming {
-    /// TTL of a grant.
-    pub ttl: Duration,
-    /// TTL of a grant while the store is unreachable.
-    pub long_ttl: Duration,
-    /// Longest TTL that any leader grants.
-    pub max_ttl: Duration,
-    /// Time from a grant to its renewal.
-    pub renewal_interval: Duration,
-    /// Shortest renewal interval with more than [`LARGE_ASSIGNMENT_COUNT`] assignments.
-    pub slow_renewal: Duration,
-    /// Time after which a failed command is sent again; it doubles with further failures.
-    pub retry_delay: Duration,
-    /// Longest time from the sending of a command to its arrival or loss.
-    pub delivery_limit: Duration,
-}
-
-impl CommandTiming {
-    /// Returns the timing for that many assignments: above [`LARGE_ASSIGNMENT_COUNT`], renewals are
-    /// less frequent and TTLs last [`TTL_RENEWAL_RATIO`] intervals, as far as `max_ttl` allows.
-    fn for_assignments(&self, assignment_count: usize) -> Self {
-        if assignment_count <= LARGE_ASSIGNMENT_COUNT {
-            return *self;
-        }
-        let min_interval =
-            Duration::from_secs_f64(assignment_count as f64 / MAX_RENEWALS_PER_SECOND);
-        let renewal_interval = self
-            .slow_renewal
-            .max(min_interval)
-            .min(self.max_ttl.mul_f64(MAX_INTERVAL_TTL_RATIO));
-        let ttl = renewal_interval
-            .mul_f64(TTL_RENEWAL_RATIO)
-            .max(self.ttl)
-            .min(self.max_ttl);
-        Self {
-            renewal_interval,
-            ttl,
-            ..*self
-        }
-    }
-}
-
 /// A running target as a possible owner of keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -111,62 +69,9 @@
     Unknown,
 }
 
-/// Assignments above which renewals are less frequent, to bound the leader's load.
-const LARGE_ASSIGNMENT_COUNT: usize = 300;
-
 /// Most commands that [`AssignmentManager::next_commands`] starts at once; the next call continues.
 const COMMAND_BATCH_LIMIT: usize = 200;
 
-/// TTL of a grant as a multiple of the renewal interval, so that a grant outlasts two renewals.
-const TTL_RENEWAL_RATIO: f64 = 2.4;
-
-/// Longest renewal interval in relation to the longest TTL.
-const MAX_INTERVAL_TTL_RATIO: f64 = 0.45;
-
-const MAX_RENEWALS_PER_SECOND: f64 = 550.0;
-
-/// Returns how long a grant of the longest TTL can be in force, counted from its sending.
-pub fn max_grant_lifetime(max_ttl: Duration, delivery_limit: Duration) -> Duration {
-    delivery_limit + max_ttl.mul_f64(CLOCK_MARGIN)
-}
-
-/// Bounds on the grants of previous leaders, in times of the store's clock.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct PreviousLeaders {
-    /// Time after which none of their grants is in force; `None` if it is not recorded.
-    pub grants_expire: Option<Duration>,
-    /// Earliest time that the store's clock can show now; `None` if it is not known.
-    pub earliest_now: Option<Duration>,
-    /// Time until which keys without a recorded owner may have one: the store was restored from a
-    /// backup, and no leader knows who was granted them. `None` if there is no such grant.
-    pub unknown_until: Option<Duration>,
-}
-
-impl StoreTimeBound {
-    /// Returns the latest time that the store's clock can show at a local `moment`, rounded up to
-    /// whole milliseconds, the unit in the stored rows.
-    fn latest_at(&self, moment: Instant) -> Duration {
-        let time = self.latest + moment.saturating_duration_since(self.local);
-        Duration::from_millis(time.as_millis() as u64 + 1)
-    }
-}
-
-impl PreviousLeaders {
-    /// Returns the longest time that can remain until `end`; `None` if either time is not known.
-    fn time_until(&self, end: Option<Duration>) -> Option<Duration> {
-        Some(end?.saturating_sub(self.earliest_now?))
-    }
-}
-
-/// A local time with an upper bound of the store's clock.
-#[derive(Clone, Copy, Debug)]
-pub struct StoreTimeBound {
-    /// Time of the local clock.
-    pub local: Instant,
-    /// Latest time that the store's clock can show at that moment.
-    pub latest: Duration,
-}
-
 /// The leader's state machine for the assignments of one service.
 #[derive(Debug)]
 pub struct AssignmentManager {
--- a/crates/decide/src/owners/mod.rs
+++ b/crates/decide/src/owners/mod.rs
@@ -3,16 +3,17 @@
 
 mod hot_keys;
 mod manager;
+mod previous_leaders;
 mod rebalance;
 mod state;
 mod table;
+mod timing;
 
 pub use {
     hot_keys::HotKeyPlacer,
-    manager::{
-        AssignmentManager, Candidate, Command, CommandOutcome, CommandTiming, PreviousLeaders,
-        StoreTimeBound, max_grant_lifetime,
-    },
+    manager::{AssignmentManager, Candidate, Command, CommandOutcome},
+    previous_leaders::{PreviousLeaders, StoreTimeBound},
     rebalance::{KeyLoads, TargetCapacities, TargetsByLoad, Transfer, rebalance},
     table::{Assignment, AssignmentTable, TargetIncarnation},
+    timing::{CommandTiming, max_grant_lifetime},
 };
--- a/crates/decide/src/owners/state.rs
+++ b/crates/decide/src/owners/state.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        manager::{Command, CommandOutcome, CommandTiming},
+        manager::{Command, CommandOutcome},
         table::Assignment,
+        timing::CommandTiming,
     },
     crate::names::{Fence, Name},
     std::time::Duration,
