fix(views): the table that an instance reads right after its start is read once more

Callers would see: requests refused for good by one instance, as it lacks live targets (RECOVER).

Cause: an instance that starts while live targets have not reported again after an outage of the store reads a table without them. The leader, which keeps them for that time, sees no change when they do, and its heartbeats confirm the instance's table.

Fix: 2.3 s after the first read, by when live targets have reported, the store is read again, whatever heartbeats confirm. One field tells when, for this and for kept and held-back reports.

Test: views/target_updates_tests, failed before (due 3.3 s after the start, and put off by each heartbeat).

--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -50,8 +50,9 @@
     confirmed_at: Option<Instant>,
     /// Until when missing targets are kept after a gap between reads.
     grace_until: Option<Instant>,
-    /// Whether the last read lacked targets that are kept.
-    has_missing: bool,
+    /// When the store has to be read again, whatever heartbeats confirm: the last read may have contradicted what the
+    /// leader knows.
+    recheck_at: Option<Instant>,
     /// Reports of a restored store that contradict what was known before, as of targets that have left: not used while
     /// missing targets are kept, unless the target writes another one.
     held_back: Rc<BTreeMap<Name, ReportNumber>>,
@@ -87,7 +88,7 @@
             changed_version: StoreVersion::NONE,
             confirmed_at: None,
             grace_until: None,
-            has_missing: false,
+            recheck_at: None,
             held_back: Rc::default(),
         }
     }
@@ -108,14 +109,11 @@
             .map(|at| now.saturating_duration_since(at))
     }
 
-    /// Returns when the targets have to be read from the store: `max_age` after the last confirmation, and once the
-    /// time is over for which missing ones are kept and reports held back, of whose end no heartbeat tells; `None` before
-    /// the first read.
+    /// Returns when the targets have to be read from the store: `max_age` after the last confirmation, or earlier if the
+    /// last read has to be checked; `None` before the first read.
     pub fn read_due(&self, max_age: Duration) -> Option<Instant> {
         let due = self.confirmed_at? + max_age;
-        let is_provisional = self.has_missing || !self.held_back.is_empty();
-        let kept_until = self.grace_until.filter(|_| is_provisional);
-        Some(kept_until.map_or(due, |until| until.min(due)))
+        Some(self.recheck_at.map_or(due, |at| at.min(due)))
     }
 
     /// Returns whether all targets have a report; those that lack one are kept for some time after a gap
@@ -177,7 +175,12 @@
         reports.retain(|id, it| held_back.get(id) != Some(&ReportNumber::from(&*it)));
         let missing = self.views.keys().filter(|id| !reports.contains_key(*id));
         let missing: Vec<&Name> = missing.collect();
-        let has_missing = grace_until.is_some() && !missing.is_empty();
+        let recheck_at = match self.is_known() {
+            _ if !missing.is_empty() || !held_back.is_empty() => grace_until,
+            true => self.recheck_at.filter(|at| *at > now),
+            // Live targets may not have reported again after an outage of the store of which nothing is known here.
+            false => Some(now + REPORT_GRACE_PERIOD),
+        };
         let removed = missing.into_iter().filter(|_| grace_until.is_none());
         let mut changes: TargetChanges = removed.map(|id| (id.clone(), None)).collect();
         let updated = reports
@@ -198,7 +201,7 @@
             changed_version: changed_version.max(self.changed_version),
             confirmed_at: self.confirmed_at.max(Some(sent_at)),
             grace_until,
-            has_missing,
+            recheck_at,
             held_back,
         };
         (next, changes)
@@ -248,7 +251,7 @@
             changed_version: version,
             confirmed_at,
             grace_until: self.grace_after(version, now),
-            has_missing: self.has_missing,
+            recheck_at: self.recheck_at,
             held_back: self.held_back.clone(),
         })
     }
--- a/crates/cowslipcross/src/views/target_updates_tests.rs
+++ b/crates/cowslipcross/src/views/target_updates_tests.rs
@@ -370,3 +370,28 @@
     let result = follower.apply_message(message, now);
     assert!(matches!(result, UpdateResult::Missed), "{result:?}");
 }
+
+/// Guards against targets that an instance lacks for good: it starts while live targets have not reported again after
+/// an outage of the store, and the leader, which keeps them, sees no change when they do.
+#[test]
+fn a_table_that_was_read_right_after_a_start_is_read_once_more() {
+    let start = Instant::now();
+    let all = [target("a", false, 0), target("b", false, 0)];
+    let mut leader = Leader::new();
+    leader.read(&all, 9, start);
+    let back = start + millis(5000);
+    leader.read(&all[1..], 20, back);
+    let started = read(&all[1..], 21, back);
+    let later = back + millis(1800);
+    leader.read(&all, 40, later);
+    let UpdateResult::Confirmed(confirmed) =
+        started.apply_message(leader.send_message(later), later)
+    else {
+        panic!("nothing has changed at the leader");
+    };
+    let due = confirmed.read_due(millis(1500)).expect("a table is known");
+    assert!(due <= back + millis(2300), "{:?}", due - back);
+    let (next, _) = confirmed.with_reports(all.to_vec(), at(50), (due, due));
+    assert!(next.get("a").is_some());
+    assert_eq!(next.read_due(millis(1500)), Some(due + millis(1500)));
+}
