--- a/crates/cowslipcross/src/context.rs
+++ b/crates/cowslipcross/src/context.rs
@@ -13,8 +13,9 @@
             quiet_targets::QuietTargets, routes::Routes, target_connections::TargetConnections,
         },
         views::{
-            target_addresses::TargetAddresses, target_notices::TargetNotices,
-            target_snapshot::TargetSnapshot, target_updates::TargetUpdates,
+            recorded_assignments::RecordedAssignments, target_addresses::TargetAddresses,
+            target_notices::TargetNotices, target_snapshot::TargetSnapshot,
+            target_updates::TargetUpdates,
         },
     },
     cowslip_adapter::{config::Config, store::Store},
@@ -24,7 +25,7 @@
         limits::{RetryBudget, RetryWindow},
         memory_budget::MemoryBudget,
         names::{Incarnation, Name, StoreVersion},
-        owners::{Assignment, AssignmentTable, PreviousLeaders, StoreTimeBound},
+        owners::{PreviousLeaders, StoreTimeBound},
         reach::Reach,
         relays::Relays,
         restarts::Restarts,
@@ -59,28 +60,6 @@
 /// Events kept for operators.
 const EVENT_CAPACITY: usize = 512;
 
-/// Assignments of a service as recorded in the store.
-#[derive(Clone, Debug)]
-pub struct RecordedAssignments {
-    /// Version of the service's row in the store.
-    pub version: StoreVersion,
-    /// Recorded assignments.
-    pub table: Rc<AssignmentTable>,
-    /// Last change, kept for the heartbeats; `None` unless this instance recorded it as leader.
-    pub last_change: Option<AssignmentChange>,
-}
-
-/// Difference between two versions of the recorded assignments.
-#[derive(Clone, Debug)]
-pub struct AssignmentChange {
-    /// Version to which the change applies.
-    pub base_version: StoreVersion,
-    /// Assignments that were added or replaced.
-    pub assignments: Vec<Assignment>,
-    /// When the store confirmed the write.
-    pub recorded_at: Instant,
-}
-
 /// Number of requests by service and key since the last report to the leader.
 pub type KeyCounts = BTreeMap<Name, BTreeMap<u16, u32>>;
 
--- a/crates/cowslipcross/src/lead/row_reader.rs
+++ b/crates/cowslipcross/src/lead/row_reader.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         clock,
-        context::{Context, LEASE_TTL, RecordedAssignments},
+        context::{Context, LEASE_TTL},
         events,
         lead::{
             assignment_rows::{self, OWNERS_PREFIX},
@@ -11,7 +11,7 @@
             leader_row::{LeaderRowValue, ROW_KEY},
         },
         store_calls,
-        views::store_era,
+        views::{recorded_assignments::RecordedAssignments, store_era},
     },
     cowslip_adapter::{
         Error,
--- a/crates/cowslipcross/src/lead/row_writer.rs
+++ b/crates/cowslipcross/src/lead/row_writer.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         clock,
-        context::{AssignmentChange, Context, RecordedAssignments},
+        context::Context,
         events,
         lead::{
             assignment_rows::{self, AssignmentRowValue},
@@ -14,6 +14,7 @@
         },
         peers::{datagram, message::Message},
         store_calls,
+        views::recorded_assignments::{AssignmentChange, RecordedAssignments},
     },
     cowslip_adapter::{
         Error,
--- a/crates/cowslipcross/src/peers/assignments.rs
+++ b/crates/cowslipcross/src/peers/assignments.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        context::{Context, RecordedAssignments},
+        context::Context,
         events,
         peers::{
             datagram,
             message::{AssignmentUpdate, Message},
         },
+        views::recorded_assignments::RecordedAssignments,
     },
     cowslip_decide::{
         names::{Fence, Name, StoreVersion},
--- a/crates/cowslipcross/src/views.rs
+++ b/crates/cowslipcross/src/views.rs
@@ -1,6 +1,7 @@
-//! The instance's local copies of the operators' configuration and of the targets' reports.
+//! The instance's local copies of the operators' configuration, the assignments and the targets' reports.
 
 pub mod config;
+pub mod recorded_assignments;
 pub mod store_era;
 mod store_health;
 pub mod target_addresses;
--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -168,7 +168,7 @@
         let reports = reports.into_iter().map(|it| (it.id.clone(), it));
         let mut reports: BTreeMap<Name, TargetReport> = reports.collect();
         let held_back = match grace_until {
-            Some(_) if version.era > self.store_version.era => self.contradicting(&reports),
+            Some(_) if version.era > self.store_version.era => self.contradicting_reports(&reports),
             Some(_) => self.held_back.clone(),
             None => Rc::default(),
         };
@@ -268,7 +268,7 @@
 
     /// Returns the reports of a store that has just been restored that contradict this snapshot: of targets that it does
     /// not have, which may have left since the backup, and of earlier starts of those that it has.
-    fn contradicting(
+    fn contradicting_reports(
         &self,
         reports: &BTreeMap<Name, TargetReport>,
     ) -> Rc<BTreeMap<Name, ReportNumber>> {
