--- a/crates/cowslipcross/tests/instance/limited_targets.rs
+++ b/crates/cowslipcross/tests/instance/limited_targets.rs
@@ -183,6 +183,11 @@
     deployment.store.restore(&backup);
     let restored_at = Instant::now();
     press(&deployment, &[0, 1], READ_TIME).await;
+    // It was known to have left, and has not written its report again.
+    assert_eq!(target.peak_arrivals(restored_at, READ_TIME), 0);
+
+    // It could have, from now on, and may have started anew.
+    press(&deployment, &[0, 1], CONTACT).await;
     let arrivals = target.peak_arrivals(restored_at, COLD_SPAN);
     assert!(
         arrivals > 0 && arrivals <= MAX_COLD_ARRIVALS,
