fix(views): the copy of a restored store is checked also if the leader tells of it first

Cause: a follower that had learned of the new era from a change of the leader did not take its own first read for one of a restored store: an old report in the copy replaced that of a later start, which the leader knew, and its heartbeats confirmed the follower's table from then on.

Evidence: log of i1: CC0617 and, in the same millisecond, CC0611 for boards-2 with the state of its former start; the leader had granted the keys to the later one.

Fix: the era of the last read is kept beside that of the table. The first read of an era holds contradicting reports back, and is followed by another one after 2.3 s, whatever else it got wrong.

Test: views/target_updates_tests, failed before (incarnation 1 in place of 2).

--- a/crates/cowslipcross/src/views/target_snapshot.rs
+++ b/crates/cowslipcross/src/views/target_snapshot.rs
@@ -45,6 +45,8 @@
     store_version: StoreVersion,
     /// Version of the store at the last change, or at the first read in its era if that is later.
     changed_version: StoreVersion,
+    /// Era of the store at the last read; the leader may have told of a later one.
+    read_era: u64,
     /// When the last read that confirmed the snapshot was sent, here or at the leader; `None`
     /// before the first read.
     confirmed_at: Option<Instant>,
@@ -86,6 +88,7 @@
             draining: Rc::default(),
             store_version: StoreVersion::NONE,
             changed_version: StoreVersion::NONE,
+            read_era: 0,
             confirmed_at: None,
             grace_until: None,
             recheck_at: None,
@@ -167,19 +170,20 @@
         };
         let reports = reports.into_iter().map(|it| (it.id.clone(), it));
         let mut reports: BTreeMap<Name, TargetReport> = reports.collect();
+        let is_first_of_era = version.era > self.read_era;
         let held_back = match grace_until {
-            Some(_) if version.era > self.store_version.era => self.contradicting_reports(&reports),
+            Some(_) if is_first_of_era => self.contradicting_reports(&reports),
             Some(_) => self.held_back.clone(),
             None => Rc::default(),
         };
         reports.retain(|id, it| held_back.get(id) != Some(&ReportNumber::from(&*it)));
         let missing = self.views.keys().filter(|id| !reports.contains_key(*id));
         let missing: Vec<&Name> = missing.collect();
-        let recheck_at = match self.is_known() {
-            _ if !missing.is_empty() || !held_back.is_empty() => grace_until,
-            true => self.recheck_at.filter(|at| *at > now),
-            // Live targets may not have reported again after an outage of the store of which nothing is known here.
-            false => Some(now + REPORT_GRACE_PERIOD),
+        let recheck_at = match is_first_of_era || !self.is_known() {
+            // Live targets may not have reported again after a restoration or an outage of the store.
+            true => Some(now + REPORT_GRACE_PERIOD),
+            false if !missing.is_empty() || !held_back.is_empty() => grace_until,
+            false => self.recheck_at.filter(|at| *at > now),
         };
         let removed = missing.into_iter().filter(|_| grace_until.is_none());
         let mut changes: TargetChanges = removed.map(|id| (id.clone(), None)).collect();
@@ -199,6 +203,7 @@
             draining,
             store_version: version.max(self.store_version),
             changed_version: changed_version.max(self.changed_version),
+            read_era: version.era.max(self.read_era),
             confirmed_at: self.confirmed_at.max(Some(sent_at)),
             grace_until,
             recheck_at,
@@ -249,6 +254,7 @@
             draining,
             store_version: version,
             changed_version: version,
+            read_era: self.read_era,
             confirmed_at,
             grace_until: self.grace_after(version, now),
             recheck_at: self.recheck_at,
--- a/crates/cowslipcross/src/views/target_updates_tests.rs
+++ b/crates/cowslipcross/src/views/target_updates_tests.rs
@@ -395,3 +395,34 @@
     assert!(next.get("a").is_some());
     assert_eq!(next.read_due(millis(1500)), Some(due + millis(1500)));
 }
+
+/// Guards against keys that are refused for good: the leader, which knows a later start of their owner than the copy of
+/// a restored store, tells of that store before the follower has read it.
+#[test]
+fn a_restored_store_is_checked_also_if_the_leader_tells_of_it_first() {
+    let start = Instant::now();
+    let restarted = TargetReport {
+        incarnation: 2,
+        ..target("a", false, 0)
+    };
+    let known = [restarted.clone(), target("b", false, 0)];
+    let mut leader = Leader::new();
+    leader.read(&known, 9, start);
+    let follower = read(&known, 10, start);
+    // The heartbeats with the first table are over.
+    (0..2).for_each(|_| drop(leader.send_message(start)));
+    let now = start + millis(600);
+    let copy = [target("a", false, 0), target("b", true, 0)];
+    leader.read_version(&copy, restored_at(5), now);
+    let UpdateResult::Changed(told) = follower.apply_message(leader.send_message(now), now) else {
+        panic!("b drains");
+    };
+    let (after, _) = told.with_reports(copy.to_vec(), restored_at(6), (now, now));
+    let incarnation = |snapshot: &TargetSnapshot| snapshot.get("a").map(|it| it.report.incarnation);
+    assert_eq!(
+        (incarnation(&told), incarnation(&after)),
+        (Some(2), Some(2))
+    );
+    // Whatever else the copy has wrong is found out once targets have written their reports again.
+    assert_eq!(after.read_due(millis(60_000)), Some(now + millis(2300)));
+}
