--- a/review/harness-3/src/bin/first_contact.rs
+++ b/review/harness-3/src/bin/first_contact.rs
@@ -21,7 +21,7 @@
 /// Instances that the store serves from the start; one more is turned away.
 const SERVED: usize = 3;
 /// Time for which callers send before the drill.
-const TRAFFIC_TIME: Duration = Duration::from_millis(2500);
+const TRAFFIC_TIME: Duration = Duration::from_millis(3500);
 /// Age of the copy from which the store comes back.
 const BACKUP_AGE: Duration = Duration::from_millis(1500);
 /// Time for which the store is away.
@@ -33,7 +33,7 @@
 /// Longest time for which two targets may hold one key (rule OWNER).
 const MAX_OVERLAP: Duration = Duration::from_millis(500);
 /// Distance of the watched keys, and the pause between two looks.
-const KEY_STEP: u64 = 512;
+const KEY_STEP: u64 = 256;
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
 fn main() {
@@ -112,12 +112,12 @@
             let mut sent = 0u64;
             while !stopped.load(Ordering::Relaxed) {
                 let mut call = Call::get("/remove/x", &format!("caller-{number}-{sent}"));
-                (call.method, call.key) = ("POST", Some((number * 700 + sent % 13 * 40) as u16));
+                (call.method, call.key) = ("POST", Some((number * 1300 + sent % 13 * 100) as u16));
                 let outcome = call.send(at, Duration::from_secs(2)).label();
                 record.line(format!("{} for key {}: {outcome}", call.id, call.key.unwrap_or_default()));
                 *counts.entry(outcome).or_default() += 1;
                 sent += 1;
-                thread::sleep(Duration::from_millis(60));
+                thread::sleep(Duration::from_millis(40));
             }
             counts
         }));
